A gang member lives by word that all its partners run; silence stops the gang

Cause: a partner lost for good was noticed after grant + margin (12 s), and a new leader restarted confirmMs and every grant timer, so members went on alone. Change: starts of members spread over runners bear gangMs (7/10 of grantMs), and answers name the grants whose partners all run on runners heard lately; without that word the runner ends the member by its own clock. The leader calls a gang back when a member's runner was silent for three polls; placing anew still waits for the grant. The request of a poll is unchanged, so runners and gates of either age go together. Ruled out: a separate cell for the span (an older keeper's table would differ), a two-phase start (adds a round trip to every gang), stopping by certainty only.

--- a/book/grant.go
+++ b/book/grant.go
@@ -28,5 +28,6 @@
 	StopPartner = "gang partner gone"
 	StopLate    = "start not confirmed"
 	StopPush    = "pushed out"
+	StopSilent  = "gang partner silent"
 	StopClosing = "closing "
 )
--- a/book/grants.go
+++ b/book/grants.go
@@ -81,15 +81,25 @@
 }
 
 func (b *Book) partners(g *Grant) {
+	for _, p := range b.Partners(g) {
+		if p.Stop == "" {
+			p.Stop = StopPartner
+		}
+	}
+}
+
+// Partners lists the other grants of the same gang, whatever their standing.
+func (b *Book) Partners(g *Grant) (list []*Grant) {
 	j := b.Jobs[g.Ref.Job]
 	if !j.Spec.Steps[g.Ref.Step].Gang {
-		return
+		return nil
 	}
 	for _, t := range j.Steps[g.Ref.Step] {
-		if p := b.Grants[t.Grant]; p != nil && p.ID != g.ID && p.Stop == "" {
-			p.Stop = StopPartner
+		if p := b.Grants[t.Grant]; p != nil && p.ID != g.ID {
+			list = append(list, p)
 		}
 	}
+	return list
 }
 
 func (b *Book) ends(e *Ends) {
--- /dev/null
+++ b/keeper/gang.go
@@ -0,0 +1,94 @@
+// Gangs go on together or not at all. A member lives by word, repeated in the
+// answers to its runner's polls, that all of its partners run on runners heard
+// lately; without that word its runner ends it. And as soon as one member's
+// runner is silent for longer than a few polls, the leader calls the whole
+// gang back: suspicion is enough to stop, though not to place anew.
+package keeper
+
+import (
+	"orchidward/book"
+	"orchidward/ids"
+	"orchidward/poll"
+)
+
+// silence is how many spans of a poll a runner may miss before its partners
+// are stopped.
+const silence = 3
+
+// gangSpan is how long a member may go on without word: less than a grant, and
+// longer than a change of leaders takes.
+func (m *Machine) gangSpan(g *book.Grant) (s ids.Span) {
+	if !m.spread(g) {
+		return 0
+	}
+	return m.book.Table.Site("grantMs") * 7 / 10
+}
+
+// spread tells whether the grant is a gang member's whose partners hold grants
+// on other runners.
+func (m *Machine) spread(g *book.Grant) (yes bool) {
+	for _, p := range m.book.Partners(g) {
+		if p.Runner != g.Runner {
+			return true
+		}
+	}
+	return false
+}
+
+// runs tells whether a grant is seen running, or ended, on a runner in touch.
+func (m *Machine) runs(g *book.Grant) (ok bool) {
+	c := m.lead.runners[g.Runner]
+	if c == nil || !c.known || c.inc != g.Inc || g.Stop != "" || m.now.Since(c.heard) > silence*m.book.Table.Site("startMs") {
+		return false
+	}
+	_, over := c.ended[g.ID]
+	return c.running[g.ID] || over
+}
+
+// wholes names the members running here whose partners all run. It says
+// whether there is one that the runner has not been told of since it began.
+func (m *Machine) wholes(c *contact, a *poll.Answer) (word bool) {
+	for id := range c.running {
+		g := m.book.Grants[id]
+		if g == nil || g.Stop != "" || !m.spread(g) {
+			continue
+		}
+		whole := true
+		for _, p := range m.book.Partners(g) {
+			whole = whole && m.runs(p)
+		}
+		if whole {
+			a.Whole = append(a.Whole, id)
+			word = word || !c.told[id]
+		}
+	}
+	sortGrants(a.Whole)
+	return word
+}
+
+// doubts calls back the gangs of runners that have been silent for too long.
+func (m *Machine) doubts() {
+	l := m.lead
+	if l.doubt > m.at {
+		return
+	}
+	var late []ids.Grant
+	span := silence * m.book.Table.Site("startMs")
+	for n, c := range l.runners {
+		r := m.book.Runners[n]
+		if r == nil || r.Gone || r.Open() == 0 || m.now.Since(c.heard) <= span {
+			continue
+		}
+		for _, id := range r.GrantIDs() {
+			if g := m.book.Grants[id]; g.Stop == "" && m.spread(g) {
+				late = append(late, id)
+			}
+		}
+	}
+	if len(late) == 0 {
+		return
+	}
+	sortGrants(late)
+	m.event("gang-in-doubt", "grants", len(late))
+	l.doubt = m.propose(&book.Cmd{Recall: &book.Recall{Grants: late, Why: book.StopSilent}})
+}
--- a/keeper/lead.go
+++ b/keeper/lead.go
@@ -20,6 +20,7 @@
 	entered map[string]entry
 	place   ids.Index
 	losing  map[ids.Runner]ids.Index
+	doubt   ids.Index
 	dirty   bool
 	planned ids.Mono
 	clock   clock
@@ -35,6 +36,7 @@
 	known   bool
 	drain   bool
 	running map[ids.Grant]bool
+	told    map[ids.Grant]bool
 	ended   map[ids.Grant]poll.End
 	open    bool
 	peer    wire.Peer
@@ -98,6 +100,7 @@
 	l.clock.tick(m.now, m.walls())
 	m.lapses()
 	m.unsure()
+	m.doubts()
 	m.seats()
 	if at, ok := m.book.NextStart(); ok && l.clock.site(m.now) >= at || m.now.Since(l.beat) > 10000 {
 		l.beat = m.now
--- a/keeper/polls.go
+++ b/keeper/polls.go
@@ -47,9 +47,13 @@
 	m.shut(c)
 	c.seq, c.heard, c.known, c.drain = p.Seq, m.now, true, p.Mode == poll.Draining
 	c.open, c.peer, c.id, c.since = true, peer, id, m.now
-	c.running, c.ended = map[ids.Grant]bool{}, map[ids.Grant]poll.End{}
+	was := c.told
+	c.running, c.ended, c.told = map[ids.Grant]bool{}, map[ids.Grant]poll.End{}, map[ids.Grant]bool{}
 	for _, g := range p.Running {
 		c.running[g] = true
+		if was[g] {
+			c.told[g] = true
+		}
 		l.sure[g] = true
 	}
 	for _, e := range p.Ended {
@@ -145,15 +149,19 @@
 		m.news(n, c)
 		a := poll.Answer{}
 		m.orders(n, c, &a)
+		word := m.wholes(c, &a)
 		for _, id := range c.order() {
 			if one := c.ended[id]; !m.book.Hears(n, c.inc, one.Grant, one.Task) {
 				a.Acked = append(a.Acked, id)
 			}
 		}
-		if len(a.Starts)+len(a.Stops)+len(a.Acked) == 0 && m.now.Since(c.since) < hold {
+		if !word && len(a.Starts)+len(a.Stops)+len(a.Acked) == 0 && m.now.Since(c.since) < hold {
 			continue
 		}
 		c.open = false
+		for _, id := range a.Whole {
+			c.told[id] = true
+		}
 		bare := m.bare()
 		a.GrantMs, a.StartMs, a.Gates = bare.GrantMs, bare.StartMs, bare.Gates
 		m.replyDoc(c.peer, c.id, 200, a)
@@ -181,7 +189,7 @@
 		case g.Stop != "":
 			a.Stops = append(a.Stops, id)
 		case !c.running[id] && !c.drain && r.Fence() == "":
-			a.Starts = append(a.Starts, poll.Start{Grant: id, Task: g.Ref, Demand: g.Demand, Run: g.Run})
+			a.Starts = append(a.Starts, poll.Start{Grant: id, Task: g.Ref, Demand: g.Demand, Run: g.Run, Gang: m.gangSpan(g)})
 		}
 	}
 	for id := range c.running {
--- a/poll/poll.go
+++ b/poll/poll.go
@@ -36,12 +36,16 @@
 	Task   ids.Ref    `json:"task"`
 	Demand job.Demand `json:"demand"`
 	Run    ids.Span   `json:"spanMs"`
+	// Gang, when it is given, is how long the attempt may go on since the
+	// sending of the last poll whose answer called it whole.
+	Gang ids.Span `json:"gangMs,omitempty"`
 }
 
 type Answer struct {
 	Starts  []Start     `json:"starts,omitempty"`
 	Stops   []ids.Grant `json:"stops,omitempty"`
 	Acked   []ids.Grant `json:"acked,omitempty"`
+	Whole   []ids.Grant `json:"whole,omitempty"`
 	GrantMs ids.Span    `json:"grantMs"`
 	StartMs ids.Span    `json:"startMs"`
 	Gates   []string    `json:"gates,omitempty"`
--- a/runner/machine.go
+++ b/runner/machine.go
@@ -42,8 +42,9 @@
 // work is one attempt under way.
 type work struct {
 	poll.Start
-	end ids.Mono
-	bad bool
+	end   ids.Mono
+	whole ids.Mono
+	bad   bool
 }
 
 func New(boot Boot, now ids.Mono) (m *Machine) {
@@ -121,7 +122,7 @@
 	for _, id := range m.order() {
 		w := m.tasks[id]
 		switch {
-		case lapsed:
+		case lapsed || w.Gang > 0 && m.now.Since(w.whole) > w.Gang:
 			m.end(id, "lapsed")
 		case m.now >= w.end && w.bad:
 			m.end(id, "defect")
@@ -230,6 +231,11 @@
 			m.out.Events = append(m.out.Events, Event{What: "acked", Grant: id, Task: e.Task})
 		}
 	}
+	for _, id := range a.Whole {
+		if w := m.tasks[id]; w != nil {
+			w.whole = max(w.whole, sent)
+		}
+	}
 	for _, id := range a.Stops {
 		m.stop(id)
 	}
@@ -237,7 +243,7 @@
 		return
 	}
 	for _, s := range a.Starts {
-		m.begin(s)
+		m.begin(s, sent)
 	}
 }
 
@@ -257,7 +263,7 @@
 	}
 }
 
-func (m *Machine) begin(s poll.Start) {
+func (m *Machine) begin(s poll.Start, sent ids.Mono) {
 	if _, used := m.tombs[s.Grant]; used || m.tasks[s.Grant] != nil {
 		return
 	}
@@ -272,7 +278,7 @@
 	if m.boot.Slow > 0 {
 		run += run * ids.Span(m.boot.Slow) / 100
 	}
-	w := &work{Start: s, end: m.now.Add(run), bad: m.rnd.Int63n(100) < m.boot.Faulty}
+	w := &work{Start: s, end: m.now.Add(run), whole: sent, bad: m.rnd.Int63n(100) < m.boot.Faulty}
 	m.tasks[s.Grant] = w
 	m.tombs[s.Grant] = m.now
 	m.news = true
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -376,6 +376,11 @@
 	}
 }
 
+// PartMost is how long a gang may go on in part whatever else fails: seven
+// tenths of a grant since a member last had word, the poll that brought it, and
+// the observer's own pace.
+const PartMost = 7600
+
 func (x *Watch) gang(key ids.Key, step int, st job.Step) {
 	run, rest := 0, 0
 	for n := 0; n < int(st.Tasks); n++ {
@@ -395,18 +400,18 @@
 	}
 	at := [2]any{key, step}
 	if run == 0 || rest == 0 {
+		if since := x.gangs[at]; since != 0 {
+			x.Span("gang in part", x.w.Time()-since)
+		}
 		delete(x.gangs, at)
 		return
 	}
 	if x.gangs[at] == 0 {
 		x.gangs[at] = x.w.Time()
 	}
-	limit := int64(30000)
-	if x.w.Quiet() {
-		limit = 6000
-	}
+	limit := int64(PartMost)
 	if x.w.Calm() {
-		limit = 5000
+		limit = 4500
 	}
 	if x.w.Time()-x.gangs[at] > limit {
 		x.Breach("P8", "%s step %d has run in part for %d ms: %d run, %d do not", key, step, x.w.Time()-x.gangs[at], run, rest)
