Every buffer found open has a bound; a leader's work follows what changed

Cause: callers' bodies waiting at a gate or under way at a leader were bounded by count only (4096 of 1 MiB each), an append pipeline by entries only, a leader's contacts not at all (any name may poll), connections of a process not at all; the keepers' list of gates was never emptied, and when full refreshed no one. Change: 64 MiB in hand at a gate, 32 MiB under way at a leader, 8 MiB to a lagging member, 2048 contacts, 256 gates, 8192 connections; past them 503 with Retry-After at once.

--- a/book/book.go
+++ b/book/book.go
@@ -41,6 +41,8 @@
 	waiting map[ids.Row]int64
 	jobs    map[ids.Row]int
 	inUse   map[ids.Row]job.Demand
+	order   []ids.Runner
+	hot     map[ids.Runner]bool
 }
 
 // MaxIDs bounds the jobs and remembered ids together, MaxRunners the runners.
@@ -79,7 +81,9 @@
 	b.names = redblacktree.NewWith(byKey)
 	b.waiting, b.jobs = map[ids.Row]int64{}, map[ids.Row]int{}
 	b.inUse = map[ids.Row]job.Demand{}
+	b.order, b.hot = nil, map[ids.Runner]bool{}
 	for _, r := range b.Runners {
+		b.enlist(r.Name)
 		r.used, r.grants, r.fence = job.Demand{}, map[ids.Grant]*Grant{}, ""
 	}
 	for _, j := range b.Jobs {
@@ -194,11 +198,23 @@
 }
 
 // RunnerNames lists the runners in order, so that walks are alike everywhere.
-func (b *Book) RunnerNames() (out []ids.Runner) {
-	out = make([]ids.Runner, 0, len(b.Runners))
-	for n := range b.Runners {
+// The list is the book's own and not to be changed.
+func (b *Book) RunnerNames() (out []ids.Runner) { return b.order }
+
+func (b *Book) enlist(n ids.Runner) {
+	at := sort.Search(len(b.order), func(i int) bool { return b.order[i] >= n })
+	b.order = append(b.order, "")
+	copy(b.order[at+1:], b.order[at:])
+	b.order[at] = n
+	b.hot[n] = true
+}
+
+// Hot lists the runners that may have something new to hear, and forgets them.
+func (b *Book) Hot() (out []ids.Runner) {
+	for n := range b.hot {
 		out = append(out, n)
 	}
+	clear(b.hot)
 	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
 	return out
 }
--- a/book/duty.go
+++ b/book/duty.go
@@ -107,7 +107,10 @@
 
 // refence derives the fence: the one thing placement and recovery read.
 func (b *Book) refence() {
-	for _, r := range b.Runners {
+	for n, r := range b.Runners {
+		if r.fence != "" {
+			b.hot[n] = true
+		}
 		r.fence = ""
 	}
 	for _, id := range b.ClosingIDs() {
--- a/book/grants.go
+++ b/book/grants.go
@@ -75,6 +75,7 @@
 		return
 	}
 	g.Stop = why
+	b.hot[g.Runner] = true
 	if why != StopDone {
 		b.partners(g)
 	}
@@ -84,6 +85,7 @@
 	for _, p := range b.Partners(g) {
 		if p.Stop == "" {
 			p.Stop = StopPartner
+			b.hot[p.Runner] = true
 		}
 	}
 }
@@ -103,6 +105,7 @@
 }
 
 func (b *Book) ends(e *Ends) {
+	b.hot[e.Runner] = true
 	for _, one := range e.List {
 		g := b.Grants[one.Grant]
 		if g != nil && g.Runner == e.Runner && g.Inc == e.Inc {
--- a/book/report.go
+++ b/book/report.go
@@ -13,6 +13,7 @@
 	case one == nil:
 		one = &Runner{Name: p.Runner, Inc: p.Inc, grants: map[ids.Grant]*Grant{}}
 		b.Runners[p.Runner] = one
+		b.enlist(p.Runner)
 	case one.Was(p.Inc):
 		return refuse(409, "old-incarnation", "a newer incarnation of this runner has reported")
 	case one.Inc != p.Inc:
@@ -22,6 +23,7 @@
 	}
 	one.Cap, one.Labels, one.Domain, one.Rack = p.Cap, p.Labels, p.Domain, p.Rack
 	one.Drain, one.Depart, one.Gone = p.Drain, p.Depart, false
+	b.hot[p.Runner] = true
 	b.racks()
 	return Res{Status: 200}
 }
--- a/book/tally.go
+++ b/book/tally.go
@@ -62,6 +62,7 @@
 
 func (b *Book) openGrant(g *Grant) {
 	r := b.Runners[g.Runner]
+	b.hot[g.Runner] = true
 	b.Grants[g.ID] = g
 	r.grants[g.ID] = g
 	r.used = r.used.Plus(g.Demand)
@@ -71,6 +72,7 @@
 
 func (b *Book) dropGrant(g *Grant) {
 	r := b.Runners[g.Runner]
+	b.hot[g.Runner] = true
 	delete(b.Grants, g.ID)
 	delete(r.grants, g.ID)
 	r.used = r.used.Minus(g.Demand)
--- a/gate/boot.go
+++ b/gate/boot.go
@@ -57,6 +57,7 @@
 	tellGap            = 1000
 	usual              = 5000
 	most               = 4096
+	mostBytes          = 64 << 20
 	staleMost          = 3
 	tryWait            = 1000
 	shunned            = 3000
--- a/gate/machine.go
+++ b/gate/machine.go
@@ -35,6 +35,7 @@
 	told    ids.Mono
 
 	calls  map[uint64]*call
+	bytes  int
 	byAsk  map[uint64]uint64
 	nextID uint64
 	Counts Counts
@@ -196,10 +197,11 @@
 	}
 	c := &call{Request: r, until: m.now.Add(r.Budget), again: r.Verb == "GET" || strings.HasPrefix(r.Path, "/v1/jobs/")}
 	m.calls[r.ID] = c
+	m.bytes += len(r.Body)
 	switch {
 	case !m.Ready(m.now):
 		m.refuse(r.ID, 503, "out-of-touch", "this gate has lost touch with the core", 1000)
-	case len(m.calls) > most:
+	case len(m.calls) > most || m.bytes > mostBytes:
 		m.refuse(r.ID, 503, "busy", "too many requests under way", 1000)
 	case m.check(c):
 		m.pass(c)
@@ -211,6 +213,7 @@
 	if c := m.calls[id]; c != nil {
 		delete(m.byAsk, c.ask)
 		delete(m.calls, id)
+		m.bytes -= len(c.Body)
 	}
 }
 
--- a/keeper/ask.go
+++ b/keeper/ask.go
@@ -51,8 +51,13 @@
 	m.send(v.peer, wire.Msg{Reply: &back})
 }
 
-// expire forgets relays whose asker has long given up.
+// expire forgets relays whose asker has long given up, and gates long gone.
 func (m *Machine) expire() {
+	for g, at := range m.gates {
+		if m.now.Since(at) > gateLife {
+			delete(m.gates, g)
+		}
+	}
 	for id, v := range m.relays {
 		if m.now > v.at {
 			delete(m.relays, id)
@@ -108,12 +113,13 @@
 
 // decide proposes a command and lets the request wait for its outcome.
 func (m *Machine) decide(c *call, cmd *book.Cmd) {
-	if len(m.waits) >= mostWaits {
+	if len(m.waits) >= mostWaits || m.bytes+len(c.Body) > mostBytes {
 		m.refuse(c.peer, c.ID, 503, "busy", "too many requests under way", 1000)
 		return
 	}
 	i := m.propose(cmd)
-	m.waits[i] = wait{peer: c.peer, id: c.ID, term: m.term, table: cmd.Table != nil}
+	m.waits[i] = wait{peer: c.peer, id: c.ID, term: m.term, table: cmd.Table != nil, size: len(c.Body)}
+	m.bytes += len(c.Body)
 	if cmd.Table != nil {
 		m.tables++
 	}
@@ -272,9 +278,7 @@
 		m.refuse(c.peer, c.ID, 400, "bad-request", "query does not parse", 0)
 		return
 	}
-	if g := q.Get("gate"); g != "" && len(m.gates) < 256 {
-		m.gates[g] = m.now
-	}
+	m.gateSeen(q.Get("gate"))
 	s := Sync{Epoch: m.book.Table.Epoch, Lead: m.boot.ID.String(), Members: m.raft.Members(), Gates: m.liveGates()}
 	if c.Epoch != s.Epoch {
 		s.Table = &Sheet{m.book.Table.Epoch, m.book.Table.Rows}
--- a/keeper/boot.go
+++ b/keeper/boot.go
@@ -39,6 +39,8 @@
 	viewEvery  = 8000
 	viewBytes  = 8 << 20
 	mostWaits  = 4096
+	mostBytes  = 32 << 20
+	mostGates  = 256
 	mostTables = 64
 	deadMs     = 10000
 	gateLife   = 5000
--- a/keeper/find.go
+++ b/keeper/find.go
@@ -87,8 +87,8 @@
 }
 
 func (m *Machine) tell(from wire.Peer, t *wire.Tell) {
-	if t.Role == "gate" && t.HTTP != "" && len(m.gates) < 256 {
-		m.gates[t.HTTP] = m.now
+	if t.Role == "gate" {
+		m.gateSeen(t.HTTP)
 	}
 	if t.Ask {
 		m.send(from, wire.Msg{Tell: m.self(false)})
@@ -163,6 +163,13 @@
 	}
 }
 
+// gateSeen notes that a gate lives; past the bound no more are taken in.
+func (m *Machine) gateSeen(http string) {
+	if _, known := m.gates[http]; known || http != "" && len(m.gates) < mostGates {
+		m.gates[http] = m.now
+	}
+}
+
 func (m *Machine) liveGates() (out []string) {
 	for g, at := range m.gates {
 		if m.now.Since(at) < gateLife {
--- a/keeper/lead.go
+++ b/keeper/lead.go
@@ -21,6 +21,8 @@
 	place   ids.Index
 	losing  map[ids.Runner]ids.Index
 	doubt   ids.Index
+	hot     map[ids.Runner]bool
+	line    []turn
 	dirty   bool
 	planned ids.Mono
 	clock   clock
@@ -46,6 +48,13 @@
 	ends    ids.Index
 }
 
+// turn is a poll in the line of those that are answered empty in time.
+type turn struct {
+	runner ids.Runner
+	id     uint64
+	since  ids.Mono
+}
+
 // errand is a duty step proposed and not yet seen applied.
 type errand struct {
 	index ids.Index
@@ -59,7 +68,7 @@
 
 func (m *Machine) rise() {
 	l := &lead{runners: map[ids.Runner]*contact{}, placed: map[ids.Grant]ids.Mono{}, sure: map[ids.Grant]bool{},
-		duty: map[string]errand{}, entered: map[string]entry{}, losing: map[ids.Runner]ids.Index{}, dirty: true, planned: -planGap, rose: m.now}
+		duty: map[string]errand{}, entered: map[string]entry{}, losing: map[ids.Runner]ids.Index{}, hot: map[ids.Runner]bool{}, dirty: true, planned: -planGap, rose: m.now}
 	for _, n := range m.book.RunnerNames() {
 		l.runners[n] = &contact{inc: m.book.Runners[n].Inc, heard: m.now}
 	}
--- a/keeper/machine.go
+++ b/keeper/machine.go
@@ -32,6 +32,7 @@
 
 	waits  map[ids.Index]wait
 	tables int
+	bytes  int
 	relays map[uint64]relay
 	nextID uint64
 
@@ -47,6 +48,7 @@
 	id    uint64
 	term  ids.Term
 	table bool
+	size  int
 }
 
 // relay is a request passed on to the leader for another.
@@ -205,8 +207,14 @@
 		m.seen, m.seenTerm = newClock(m.book.Now, m.now), e.Term
 	}
 	m.logged(c, res)
+	if m.lead == nil {
+		m.book.Hot()
+	}
 	if m.lead != nil {
 		m.lead.dirty = true
+		for _, n := range m.book.Hot() {
+			m.lead.hot[n] = true
+		}
 		for id := first; id < m.book.NextGrant; id++ {
 			m.lead.placed[id] = m.now
 		}
@@ -236,6 +244,7 @@
 	if m.waits[i].table {
 		m.tables--
 	}
+	m.bytes -= m.waits[i].size
 	delete(m.waits, i)
 }
 
--- a/keeper/polls.go
+++ b/keeper/polls.go
@@ -32,6 +32,10 @@
 		m.replyDoc(peer, id, 200, poll.Answer{Retired: true})
 		return
 	}
+	if c == nil && len(l.runners) >= book.MaxRunners {
+		m.refuse(peer, id, 503, "runners-full", "no room for another runner", 60000)
+		return
+	}
 	if c == nil {
 		c = &contact{}
 		l.runners[name] = c
@@ -49,16 +53,26 @@
 	c.open, c.peer, c.id, c.since = true, peer, id, m.now
 	was := c.told
 	c.running, c.ended, c.told = map[ids.Grant]bool{}, map[ids.Grant]poll.End{}, map[ids.Grant]bool{}
+	l.hot[name] = true
+	l.line = append(l.line, turn{name, id, m.now})
 	for _, g := range p.Running {
 		c.running[g] = true
 		if was[g] {
 			c.told[g] = true
+		} else if one := m.book.Grants[g]; one != nil {
+			for _, p := range m.book.Partners(one) {
+				l.hot[p.Runner] = true
+			}
+		}
+		if m.book.Grants[g] != nil {
+			l.sure[g] = true
 		}
-		l.sure[g] = true
 	}
 	for _, e := range p.Ended {
 		c.ended[e.Grant] = e
-		l.sure[e.Grant] = true
+		if m.book.Grants[e.Grant] != nil {
+			l.sure[e.Grant] = true
+		}
 	}
 	m.facts(name, c, p)
 	m.news(name, c)
@@ -138,12 +152,20 @@
 }
 
 // polls answers the open polls that have something to hear, or have been open
-// long enough. Starts go out only for grants in the book as it now stands.
+// long enough. Starts go out only for grants in the book as it now stands. Only
+// those are visited whose runner something happened to, or whose time has come.
 func (m *Machine) polls() {
+	l := m.lead
 	hold := m.book.Table.Site("startMs") * 6 / 10
-	for _, n := range m.contacts() {
-		c := m.lead.runners[n]
-		if !c.open {
+	for len(l.line) > 0 && m.now.Since(l.line[0].since) >= hold {
+		if c := l.runners[l.line[0].runner]; c != nil && c.open && c.id == l.line[0].id {
+			l.hot[l.line[0].runner] = true
+		}
+		l.line = l.line[1:]
+	}
+	for _, n := range m.heated() {
+		c := l.runners[n]
+		if c == nil || !c.open {
 			continue
 		}
 		m.news(n, c)
@@ -168,10 +190,12 @@
 	}
 }
 
-func (m *Machine) contacts() (list []ids.Runner) {
-	for n := range m.lead.runners {
+// heated takes the runners to look at, in order.
+func (m *Machine) heated() (list []ids.Runner) {
+	for n := range m.lead.hot {
 		list = append(list, n)
 	}
+	clear(m.lead.hot)
 	sort.Slice(list, func(i, j int) bool { return list[i] < list[j] })
 	return list
 }
--- a/raft/log.go
+++ b/raft/log.go
@@ -43,6 +43,14 @@
 	return out
 }
 
+// bytes is what the entries from one to another weigh, as far as they are here.
+func (l *log) bytes(from, to ids.Index) (n int) {
+	for i := max(from, l.base+1); i <= min(to, l.last()); i++ {
+		n += len(l.list[i-l.base-1].Data) + 32
+	}
+	return n
+}
+
 func (l *log) cut(from ids.Index) { l.list = l.list[:from-l.base-1] }
 
 // shed drops entries before keep, which must not be past the view.
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -22,6 +22,7 @@
 const (
 	appendBytes = 256 << 10
 	window      = 2048
+	windowBytes = 8 << 20
 	chunk       = 256 << 10
 	keepTail    = 4096
 )
@@ -390,7 +391,7 @@
 	prev := p.next - 1
 	t, _ := r.log.term(prev)
 	m := Msg{Kind: Append, To: to, Index: prev, LogTerm: t, Commit: r.commit}
-	if p.next-p.match < window {
+	if p.next-p.match < window && r.log.bytes(p.match+1, p.next-1) < windowBytes {
 		m.Entries = r.log.from(p.next, appendBytes)
 	}
 	if len(m.Entries) == 0 && !beat {
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -96,3 +96,18 @@
 		t.Errorf("then %+v, %+v, %d bytes left", two, three, b.Bytes())
 	}
 }
+
+// TestVoteIsOnDisk: a vote is told only once it is synced; one told before and
+// lost with the power could be given twice.
+func TestVoteIsOnDisk(t *testing.T) {
+	r := New(1, Usual(), 1, 0, Hard{Term: 3}, &View{Index: 1, Term: 1, Members: trio()}, nil)
+	r.Step(Msg{Kind: Ask, From: 2, To: 1, Term: 4, Index: 9, LogTerm: 9}, 1100, 0)
+	o := r.Take()
+	if o.Write == nil || o.Write.Hard == nil || o.Write.Hard.Vote != 2 || len(o.Msgs) > 0 {
+		t.Fatalf("before the sync: %+v", o)
+	}
+	r.Synced(o.Write.Seq)
+	if o = r.Take(); len(o.Msgs) != 1 || o.Msgs[0].No {
+		t.Errorf("after the sync: %+v", o.Msgs)
+	}
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -24,7 +24,7 @@
 	ready atomic.Bool
 	down  atomic.Bool
 	http  *http.Server
-	ln    net.Listener
+	ln    *crowd
 }
 
 func New(addr string) (s *Server, err error) {
@@ -33,7 +33,7 @@
 		return nil, errors.Wrap(err, "http")
 	}
 	gin.SetMode(gin.ReleaseMode)
-	s = &Server{Gin: gin.New(), Gauge: NewGauges(), ln: ln}
+	s = &Server{Gin: gin.New(), Gauge: NewGauges(), ln: &crowd{Listener: ln, most: mostConns}}
 	s.Gin.Use(func(c *gin.Context) {
 		if s.down.Load() {
 			c.Header("Connection", "close")
--- /dev/null
+++ b/sim/bounds_test.go
@@ -0,0 +1,71 @@
+package sim
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"orchidward/ids"
+	"orchidward/job"
+	"orchidward/watch"
+)
+
+// TestHandsFull: with every disk at a stand nothing is decided, and what comes
+// in is kept only up to a bound: then callers are told so at once. When the
+// disks go on, all that is resent is taken.
+func TestHandsFull(t *testing.T) {
+	t.Parallel()
+	told := map[int]int{}
+	play(t, Plan{Seed: 31, Window: 25000, Settle: 40000, Extra: func(w *World) {
+		w.at(8000, func() {
+			for _, k := range w.keepers {
+				k.stall = w.Now + 3000
+			}
+		})
+		pad := bytes.Repeat([]byte(" "), 1<<20)
+		var put func(i int)
+		put = func(i int) {
+			body := append([]byte(fmt.Sprintf(`{"pending":"stock","steps":[{"name":"s%d","spanMs":50}]}`, i)), pad...)
+			w.http(w.callers.node, w.gates[i%3].addr, "PUT", fmt.Sprintf("/v1/jobs/big/j%d", i), body, 1000, func(status int, _ []byte) {
+				told[status]++
+				if status != 200 && status != 201 {
+					w.after(1500, func() { put(i) })
+				}
+			})
+		}
+		w.at(8500, func() {
+			for i := 0; i < 50; i++ {
+				st := job.Step{Name: "s", Tasks: 1, Defects: 1, Demand: job.Demand{Cores: 1, Mem: 1}}
+				w.Watch.Jobs[ids.MakeKey("big", ids.JobID(fmt.Sprintf("j%d", i)))] = &watch.Job{Spec: job.Spec{Steps: []job.Step{st}}, Acked: 1, Over: "well"}
+				put(i)
+			}
+		})
+		w.at(9000, func() {
+			if told[503] < 10 {
+				t.Errorf("half a second after 50 MiB came in, told: %v", told)
+			}
+		})
+	}})
+	if told[200]+told[201] != 50 {
+		t.Errorf("in the end told: %v", told)
+	}
+	t.Log(told)
+}
+
+// TestTooManyRunners: names no one knows cost a leader nothing past its bound.
+func TestTooManyRunners(t *testing.T) {
+	t.Parallel()
+	told := map[int]int{}
+	w := NewWorld(33, Gilde())
+	w.Run(5000)
+	for i := 0; i < 2300; i++ {
+		w.at(5000+int64(i), func() {
+			body := []byte(fmt.Sprintf(`{"incarnation":"a%d","seq":1,"cores":1,"memMb":1,"domain":"far","rack":"far","mode":"active"}`, i))
+			w.http(w.callers.node, w.gates[i%3].addr, "POST", fmt.Sprintf("/v1/runners/x%d/poll", i), body, 3000, func(status int, _ []byte) { told[status]++ })
+		})
+	}
+	w.Run(12000)
+	if told[503] != 2300-(2048-11) || told[200] != 2048-11 {
+		t.Errorf("told: %v", told)
+	}
+}
--- a/yard/break/main.go
+++ b/yard/break/main.go
@@ -53,7 +53,7 @@
 	{"older term's entries committed by count", "raft/raft.go", "at > r.commit && t == r.hard.Term", "at > r.commit && t > 0", []string{"./raft"}, "committed by count", nil},
 	{"votes for a shorter log", "raft/step.go", "return m.LogTerm > t || m.LogTerm == t && m.Index >= r.log.last()", "return t > 0 || m.LogTerm >= t", []string{"./raft"}, "seed ", nil},
 	{"two seats changed at once", "raft/raft.go", "r.commit < r.first || r.confs[len(r.confs)-1].index > r.commit", "false", []string{"./raft"}, "seed ", nil},
-	{"vote told before it is on disk", "raft/step.go", "	r.hold(Msg{Kind: Answer, To: m.From})\n}", "	r.say(Msg{Kind: Answer, To: m.From})\n}", []string{"./raft"}, "seed ", nil},
+	{"vote told before it is on disk", "raft/step.go", "	r.hold(Msg{Kind: Answer, To: m.From})\n}", "	r.say(Msg{Kind: Answer, To: m.From})\n}", []string{"./raft"}, "before the sync", nil},
 	{"young process helps to elect", "raft/step.go", "if r.now.Since(r.start) < r.tm.Elect {", "if false {", []string{"./raft"}, "helped to elect another", nil},
 	{"members go on without word", "runner/machine.go", "case lapsed || w.Gang > 0 && m.now.Since(w.whole) > w.Gang:", "case lapsed:", []string{"./sim", "-run", "TestGangInPart"}, "in part for", nil},
 	{"silence not doubted", "keeper/lead.go", "	m.doubts()\n", "", []string{"./sim", "-run", "TestGangInPart"}, "in part for", nil},
