Levels: new commands wait for all members; books are compared; strangers step aside

Cause: an entry of a kind a keeper did not know was read as an empty one, and a changed rule applied by half the fleet, so books could part without a word during an upgrade. Seen: with unknown words let through, all three keepers go on past an entry none of them knows. Change: members say the highest level they know (one added field on the wire); when every member, learners too, knows a higher one, one entry raises it. New kinds wait for that; entries are read strictly; a keeper that meets an unknown word, a higher level, or a sum of its book other than the leader's steps aside with the reason. A folder of a later level is not opened, a joiner of a former level not taken in. gangMs is sent from level 1 on.

--- a/book/apply.go
+++ b/book/apply.go
@@ -51,7 +51,10 @@
 		b.lost(c.Lost)
 	case c.Step != nil:
 		b.step(c.Step)
+	case c.Raise != nil:
+		b.Level = max(b.Level, c.Raise.Level)
 	}
+	b.fold(uint64(b.Now), uint64(b.NextGrant), uint64(b.NextSeq), uint64(b.Table.Epoch), uint64(r.Status))
 	b.tidy()
 	return r
 }
--- a/book/book.go
+++ b/book/book.go
@@ -32,6 +32,8 @@
 	Known     *Known                 `json:"known,omitempty"`
 	OldGrant  ids.Span               `json:"oldGrantMs,omitempty"`
 	OldAt     ids.Millis             `json:"oldGrantAt,omitempty"`
+	Level     uint16                 `json:"level,omitempty"`
+	Sum       uint64                 `json:"sum,omitempty"`
 
 	rules   *rules.Rules
 	lanes   map[ids.Row]*lane
--- a/book/cmd.go
+++ b/book/cmd.go
@@ -3,6 +3,7 @@
 package book
 
 import (
+	"bytes"
 	"encoding/json"
 
 	"orchidward/ids"
@@ -23,6 +24,20 @@
 	Recall *Recall       `json:"recall,omitempty"`
 	Lost   *Lost         `json:"lost,omitempty"`
 	Step   *Step         `json:"step,omitempty"`
+	Raise  *Raise        `json:"raise,omitempty"`
+	Check  *Check        `json:"check,omitempty"`
+}
+
+// Raise lifts the level: from this entry on commands and rules of that level
+// may be used, since every member has said that it knows them.
+type Raise struct {
+	Level uint16 `json:"level"`
+}
+
+// Check says what the book's sum was, at the leader, after the entry at Index.
+type Check struct {
+	Index ids.Index `json:"index"`
+	Sum   uint64    `json:"sum"`
 }
 
 type Submit struct {
@@ -116,9 +131,13 @@
 	return text
 }
 
+// DecodeCmd wants to know every word of an entry: what this program does not
+// know it would not do, and its book would part from the others'.
 func DecodeCmd(text []byte) (c *Cmd, err error) {
 	c = &Cmd{}
-	if err = json.Unmarshal(text, c); err != nil {
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err = d.Decode(c); err != nil {
 		return nil, err
 	}
 	return c, nil
--- a/book/duty.go
+++ b/book/duty.go
@@ -181,6 +181,9 @@
 	if c == nil || c.Stage != s.From {
 		return
 	}
+	defer func() {
+		b.fold(text(c.ID), text(string(c.Stage)), uint64(c.Loose), uint64(len(c.Displaced)), text(c.Verdict))
+	}()
 	switch c.Stage {
 	case Preflight:
 		b.preflight(c)
--- /dev/null
+++ b/book/sum.go
@@ -0,0 +1,27 @@
+// The sum runs along with the book: whatever an entry does to tasks, grants,
+// closings, the table and the counters is folded into it, from level 1 on. Two
+// books that were given the same entries and did not do the same part in it.
+package book
+
+import "hash/fnv"
+
+// Present is the level of commands and rules that this program knows.
+const Present uint16 = 1
+
+const prime = 1099511628211
+
+func (b *Book) fold(list ...uint64) {
+	if b.Level < 1 {
+		return
+	}
+	for _, n := range list {
+		b.Sum = (b.Sum ^ n) * prime
+		b.Sum ^= b.Sum >> 29
+	}
+}
+
+func text(word string) (n uint64) {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(word))
+	return h.Sum64()
+}
--- a/book/tally.go
+++ b/book/tally.go
@@ -26,6 +26,7 @@
 	t := j.Task(r)
 	b.tally(j, r.Step, t.State, -1)
 	t.State = s
+	b.fold(j.Seq, uint64(r.Step), uint64(r.Num), text(string(s)), uint64(t.Defects))
 	b.tally(j, r.Step, s, 1)
 	if s.Ended() {
 		b.untie(j, t)
@@ -63,6 +64,7 @@
 func (b *Book) openGrant(g *Grant) {
 	r := b.Runners[g.Runner]
 	b.hot[g.Runner] = true
+	b.fold(uint64(g.ID), text(string(g.Runner)), text(string(g.Inc)))
 	b.Grants[g.ID] = g
 	r.grants[g.ID] = g
 	r.used = r.used.Plus(g.Demand)
@@ -73,6 +75,7 @@
 func (b *Book) dropGrant(g *Grant) {
 	r := b.Runners[g.Runner]
 	b.hot[g.Runner] = true
+	b.fold(uint64(g.ID), text(g.Stop))
 	delete(b.Grants, g.ID)
 	delete(r.grants, g.ID)
 	r.used = r.used.Minus(g.Demand)
--- a/cmd/keeper/desk.go
+++ b/cmd/keeper/desk.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/fx"
 
+	"orchidward/book"
 	"orchidward/crew"
 	"orchidward/ids"
 	"orchidward/keeper"
@@ -61,7 +62,7 @@
 	}
 	d = &desk{log: log, clock: crew.NewClock(), in: crew.NewRing[input](8192), stop: stop}
 	d.store = newStore(disk, shape)
-	d.mach = keeper.New(keeper.Boot{ID: id, Addr: f.Addr, Domain: ids.Domain(f.Domain), Seeds: f.Seeds, Seed: int64(random() >> 1), Timing: raft.Usual()}, d.clock.Now())
+	d.mach = keeper.New(keeper.Boot{ID: id, Addr: f.Addr, Domain: ids.Domain(f.Domain), Seeds: f.Seeds, Seed: int64(random() >> 1), Timing: raft.Usual(), Level: book.Present}, d.clock.Now())
 	d.mach.Full = d.store.full
 	found, err := d.store.open()
 	if err != nil {
@@ -140,6 +141,10 @@
 	if o.Start != nil {
 		d.start = o.Start
 	}
+	if o.Quit != "" {
+		d.log.Fault("step-aside", "why", o.Quit)
+		d.stop.Shutdown(fx.ExitCode(1))
+	}
 	for _, w := range o.Writes {
 		d.todo.Add(w)
 	}
--- a/keeper/ask.go
+++ b/keeper/ask.go
@@ -226,6 +226,11 @@
 		m.refuse(c.peer, c.ID, 422, "unprocessable", "join lacks an identity or an address", 0)
 		return
 	}
+	if j.Level < m.book.Level {
+		m.event("join-refused", "node", id, "level", j.Level, "want", m.book.Level)
+		m.refuse(c.peer, c.ID, 409, "too-old", "the group's level is above this program's", 0)
+		return
+	}
 	next, had, learners := []raft.Member{}, false, 0
 	for _, mem := range m.raft.Members() {
 		if !mem.Voter {
--- a/keeper/boot.go
+++ b/keeper/boot.go
@@ -17,6 +17,8 @@
 	Seeds  []string
 	Seed   int64
 	Timing raft.Timing
+	// Level is the highest level of commands and rules this program knows.
+	Level uint16
 }
 
 // Event is one line for the log.
@@ -31,6 +33,8 @@
 	Start  *raft.View
 	Writes []*raft.Write
 	Events []Event
+	// Quit says why this keeper must step aside; it takes no further input.
+	Quit string
 }
 
 const (
@@ -44,6 +48,7 @@
 	mostTables = 64
 	deadMs     = 10000
 	gateLife   = 5000
+	checkGap   = 2000
 )
 
 // Tick is how often a keeper should be ticked.
--- a/keeper/find.go
+++ b/keeper/find.go
@@ -82,7 +82,7 @@
 func (m *Machine) Started(v *raft.View, now ids.Mono, wall ids.Wall) {
 	m.clock(now, wall)
 	if err := m.Resume(raft.Hard{}, v, nil); err != nil {
-		panic(err)
+		m.quit(err.Error())
 	}
 }
 
@@ -121,6 +121,7 @@
 	ID     string     `json:"id"`
 	Addr   string     `json:"addr"`
 	Domain ids.Domain `json:"domain"`
+	Level  uint16     `json:"level,omitempty"`
 }
 
 func (m *Machine) join(from wire.Peer, t *wire.Tell) {
@@ -132,7 +133,7 @@
 			return
 		}
 	}
-	body, err := json.Marshal(joinBody{m.boot.ID.String(), m.boot.Addr, m.boot.Domain})
+	body, err := json.Marshal(joinBody{m.boot.ID.String(), m.boot.Addr, m.boot.Domain, m.boot.Level})
 	if err != nil {
 		panic(err)
 	}
--- a/keeper/gang.go
+++ b/keeper/gang.go
@@ -18,7 +18,7 @@
 // gangSpan is how long a member may go on without word: less than a grant, and
 // longer than a change of leaders takes.
 func (m *Machine) gangSpan(g *book.Grant) (s ids.Span) {
-	if !m.spread(g) {
+	if m.book.Level < 1 || !m.spread(g) {
 		return 0
 	}
 	return m.book.Table.Site("grantMs") * 7 / 10
--- a/keeper/lead.go
+++ b/keeper/lead.go
@@ -21,6 +21,8 @@
 	place   ids.Index
 	losing  map[ids.Runner]ids.Index
 	doubt   ids.Index
+	raising ids.Index
+	checked ids.Mono
 	hot     map[ids.Runner]bool
 	line    []turn
 	dirty   bool
@@ -115,6 +117,8 @@
 	m.unsure()
 	m.doubts()
 	m.seats()
+	m.raise()
+	m.check()
 	if at, ok := m.book.NextStart(); ok && l.clock.site(m.now) >= at || m.now.Since(l.beat) > 10000 {
 		l.beat = m.now
 		m.propose(&book.Cmd{})
--- /dev/null
+++ b/keeper/level.go
@@ -0,0 +1,74 @@
+// Levels and sums. New commands and rules wait until every member, learners
+// too, has said that it knows them; then one entry raises the level. A keeper
+// that meets what it does not know steps aside rather than let its book part
+// from the others'. And every so often the leader's entry says what the book's
+// sum was: whoever has another sum at that index steps aside as well.
+package keeper
+
+import (
+	"orchidward/book"
+	"orchidward/ids"
+)
+
+const sumsKept = 1024
+
+// sums remembers the book's sum after each of the last entries.
+type sums struct {
+	at  [sumsKept]ids.Index
+	sum [sumsKept]uint64
+}
+
+func (s *sums) put(i ids.Index, sum uint64) { s.at[i%sumsKept], s.sum[i%sumsKept] = i, sum }
+
+func (s *sums) get(i ids.Index) (sum uint64, ok bool) {
+	return s.sum[i%sumsKept], s.at[i%sumsKept] == i && i > 0
+}
+
+// quit steps aside: what was handed out so far still goes, nothing more does.
+func (m *Machine) quit(why string, vals ...any) {
+	if m.over {
+		return
+	}
+	m.over = true
+	m.out.Quit = why
+	m.event("step-aside", append([]any{"why", why}, vals...)...)
+}
+
+// parted tells whether this keeper's book differs from the leader's.
+func (m *Machine) parted(c *book.Check) (yes bool) {
+	sum, ok := m.sums.get(c.Index)
+	if !ok || sum == c.Sum {
+		return false
+	}
+	m.quit("this keeper's book differs from the leader's", "index", c.Index)
+	return true
+}
+
+// raise lifts the level once all members know a higher one.
+func (m *Machine) raise() {
+	l := m.lead
+	to := m.boot.Level
+	if l.raising > m.at || m.book.Level >= to || len(m.raft.See())+1 < len(m.raft.Members()) {
+		return
+	}
+	for _, s := range m.raft.See() {
+		if s.Quiet > 2000 || s.Level <= m.book.Level {
+			return
+		}
+		to = min(to, s.Level)
+	}
+	m.event("level", "from", m.book.Level, "to", to)
+	l.raising = m.propose(&book.Cmd{Raise: &book.Raise{Level: to}})
+}
+
+// check lets the members compare their books.
+func (m *Machine) check() {
+	l := m.lead
+	if m.book.Level < 1 || m.now.Since(l.checked) < checkGap {
+		return
+	}
+	l.checked = m.now
+	if sum, ok := m.sums.get(m.at); ok {
+		m.propose(&book.Cmd{Check: &book.Check{Index: m.at, Sum: sum}})
+	}
+}
--- a/keeper/machine.go
+++ b/keeper/machine.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"sort"
 
+	"github.com/go-faster/errors"
+
 	"orchidward/book"
 	"orchidward/ids"
 	"orchidward/raft"
@@ -26,6 +28,8 @@
 	// gots notes when entries came, for those not yet applied: an entry's time
 	// runs on from then, however late it is decided.
 	gots []got
+	sums sums
+	over bool
 	out  Out
 
 	founders []raft.Member
@@ -73,9 +77,13 @@
 	if err != nil {
 		return err
 	}
+	if b.Level > m.boot.Level {
+		return errors.Errorf("the folder is of level %d, and this program knows %d: start one at least as new as before", b.Level, m.boot.Level)
+	}
 	m.book, m.at = b, view.Index
 	m.founders = view.Members
 	m.raft = raft.New(m.boot.ID, m.boot.Timing, m.boot.Seed, m.now, hard, view, list)
+	m.raft.Speak(m.boot.Level)
 	m.find = nil
 	return nil
 }
@@ -93,6 +101,9 @@
 }
 
 func (m *Machine) Tick(now ids.Mono, wall ids.Wall) {
+	if m.over {
+		return
+	}
 	m.clock(now, wall)
 	if m.find != nil {
 		m.seek()
@@ -119,6 +130,9 @@
 }
 
 func (m *Machine) Frame(from wire.Peer, msg wire.Msg, now ids.Mono, wall ids.Wall) {
+	if m.over {
+		return
+	}
 	m.clock(now, wall)
 	switch {
 	case msg.Tell != nil:
@@ -136,6 +150,9 @@
 }
 
 func (m *Machine) Synced(seq uint64, now ids.Mono, wall ids.Wall) {
+	if m.over {
+		return
+	}
 	m.clock(now, wall)
 	if m.raft != nil {
 		m.raft.Synced(seq)
@@ -155,7 +172,7 @@
 	if m.raft == nil {
 		return
 	}
-	for more := true; more; {
+	for more := true; more && !m.over; {
 		if m.lead != nil {
 			m.work()
 		}
@@ -171,6 +188,10 @@
 		if err != nil {
 			panic(fmt.Sprintf("keeper: view from the leader does not decode: %v", err))
 		}
+		if b.Level > m.boot.Level {
+			m.quit("the group's level is above this program's", "level", b.Level)
+			return false
+		}
 		m.book, m.at, m.since = b, out.Load.Index, 0
 		m.event("view-loaded", "index", out.Load.Index)
 	}
@@ -183,7 +204,9 @@
 		m.out.Writes = append(m.out.Writes, out.Write)
 	}
 	for _, e := range out.Commit {
-		m.apply(e)
+		if m.apply(e); m.over {
+			return false
+		}
 	}
 	if len(out.Commit) > 0 {
 		m.view()
@@ -204,13 +227,22 @@
 	}
 	c, err := book.DecodeCmd(e.Data)
 	if err != nil {
-		panic(fmt.Sprintf("keeper: entry %d does not decode: %v", e.Index, err))
+		m.quit("an entry that this program does not know", "index", e.Index, "error", err)
+		return
+	}
+	if c.Raise != nil && c.Raise.Level > m.boot.Level {
+		m.quit("the group's level is above this program's", "level", c.Raise.Level)
+		return
+	}
+	if c.Check != nil && m.parted(c.Check) {
+		return
 	}
 	first := m.book.NextGrant
 	res := m.book.Apply(c)
 	if e.Term != m.seenTerm || m.book.Now > m.seen.site(m.now) {
 		m.seen, m.seenTerm = newClock(m.book.Now, at), e.Term
 	}
+	m.sums.put(e.Index, m.book.Sum)
 	m.logged(c, res)
 	if m.lead == nil {
 		m.book.Hot()
--- a/keeper/show.go
+++ b/keeper/show.go
@@ -237,15 +237,16 @@
 	Lead  bool      `json:"leads"`
 	Match ids.Index `json:"match"`
 	Quiet ids.Span  `json:"quietMs"`
+	Level uint16    `json:"level"`
 }
 
 func (m *Machine) showKeepers() (out map[string]any) {
 	list := []KeeperDoc{}
 	self, _ := m.raft.Member(m.boot.ID)
-	list = append(list, KeeperDoc{Member: self, Name: self.ID.String(), Lead: true, Match: m.raft.Last()})
+	list = append(list, KeeperDoc{Member: self, Name: self.ID.String(), Lead: true, Match: m.raft.Last(), Level: m.boot.Level})
 	for _, s := range m.raft.See() {
-		list = append(list, KeeperDoc{Member: s.Member, Name: s.ID.String(), Match: s.Match, Quiet: s.Quiet})
+		list = append(list, KeeperDoc{Member: s.Member, Name: s.ID.String(), Match: s.Match, Quiet: s.Quiet, Level: s.Level})
 	}
 	return map[string]any{"keepers": list, "term": m.term, "commit": m.raft.Commit(), "view": m.raft.ViewAt(),
-		"gates": m.liveGates(), "siteTime": book.Stamp(m.lead.clock.site(m.now)), "clocksAgree": m.lead.clock.agreed}
+		"gates": m.liveGates(), "siteTime": book.Stamp(m.lead.clock.site(m.now)), "level": m.book.Level, "clocksAgree": m.lead.clock.agreed}
 }
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -67,6 +67,7 @@
 	first ids.Index
 	into  *View
 	giver ids.Node
+	level uint16
 
 	seq      uint64
 	done     uint64
@@ -145,6 +146,9 @@
 func (r *Raft) Commit() (i ids.Index) { return r.commit }
 func (r *Raft) Last() (i ids.Index)   { return r.log.last() }
 
+// Speak sets the level this member says it knows.
+func (r *Raft) Speak(level uint16) { r.level = level }
+
 // Basis is the term of the last entry this leader found in its log: only a
 // site time carried on from that term counts beside its own.
 func (r *Raft) Basis() (t ids.Term) { return r.basis }
@@ -433,7 +437,7 @@
 
 // vouch adds this keeper's evidence for site time as a message leaves.
 func (r *Raft) vouch(m *Msg) {
-	m.Wall, m.Met, m.Site = r.wall, r.met, r.site
+	m.Wall, m.Met, m.Site, m.Level = r.wall, r.met, r.site, r.level
 	if m.Kind == Appended {
 		m.LogTerm = r.from
 	}
--- a/raft/step.go
+++ b/raft/step.go
@@ -197,8 +197,8 @@
 	if r.role != Leader || p == nil {
 		return
 	}
-	p.ack = max(p.ack, m.Stamp)
-	p.heard, p.wall, p.at, p.met, p.site, p.from = r.now, m.Wall, r.now, m.Met, m.Site, m.LogTerm
+	p.hear(m, r.now)
+	p.from = m.LogTerm
 	if m.No {
 		if p.probe && m.Index != p.prev || m.Index < p.match {
 			return
@@ -263,8 +263,7 @@
 	if r.role != Leader || p == nil {
 		return
 	}
-	p.ack = max(p.ack, m.Stamp)
-	p.heard, p.wall, p.at, p.met, p.site = r.now, m.Wall, r.now, m.Met, m.Site
+	p.hear(m, r.now)
 	if p.load != nil && p.load.Index == m.Index && m.Off != p.off {
 		p.off, p.sent = m.Off, 0
 		r.sendView(m.From, p, true)
@@ -281,13 +280,14 @@
 	Met   ids.Term
 	Site  ids.Millis
 	From  ids.Term
+	Level uint16
 }
 
 // See lists the other members as the leader sees them.
 func (r *Raft) See() (out []Sight) {
 	for _, m := range r.Members() {
 		if p := r.peers[m.ID]; p != nil {
-			out = append(out, Sight{Member: m, Match: p.match, Quiet: r.now.Since(p.heard), Wall: p.wall, At: p.at, Met: p.met, Site: p.site, From: p.from})
+			out = append(out, Sight{Member: m, Match: p.match, Quiet: r.now.Since(p.heard), Wall: p.wall, At: p.at, Met: p.met, Site: p.site, From: p.from, Level: p.level})
 		}
 	}
 	return out
--- a/raft/types.go
+++ b/raft/types.go
@@ -50,6 +50,7 @@
 // time, handed back unchanged, so a lease is measured on one clock only. Wall
 // and Met are evidence for site time: Met is the first term in which the
 // sender, since it started, knew a leader; Site is the site time it carries.
+// Level is the highest level of commands and rules that the sender knows.
 type Msg struct {
 	Kind    Kind
 	From    ids.Node
@@ -66,6 +67,7 @@
 	Wall    ids.Wall
 	Met     ids.Term
 	Site    ids.Millis
+	Level   uint16
 	View    *View
 	Off     int64
 	Total   int64
--- a/sim/keep.go
+++ b/sim/keep.go
@@ -2,6 +2,7 @@
 package sim
 
 import (
+	"orchidward/book"
 	"orchidward/ids"
 	"orchidward/keeper"
 	"orchidward/raft"
@@ -23,10 +24,12 @@
 	stall int64
 	seeds []string
 	gone  bool
+	level uint16
+	aside string
 }
 
 func (w *World) addKeeper(name, zone string) (k *keep) {
-	k = &keep{node: w.add(name, zone), w: w, disk: newDisk(), shape: ring.Shape{Files: 6, Bytes: 256 << 10}, seeds: w.seeds}
+	k = &keep{node: w.add(name, zone), w: w, disk: newDisk(), shape: ring.Shape{Files: 6, Bytes: 256 << 10}, seeds: w.seeds, level: book.Present}
 	w.keepers = append(w.keepers, k)
 	return k
 }
@@ -42,7 +45,7 @@
 		panic(err)
 	}
 	k.shape = shape
-	k.mach = keeper.New(keeper.Boot{ID: id, Addr: k.addr, Domain: ids.Domain(k.zone), Seeds: k.seeds, Seed: w.rnd.Int63(), Timing: raft.Usual()}, 0)
+	k.mach = keeper.New(keeper.Boot{ID: id, Addr: k.addr, Domain: ids.Domain(k.zone), Seeds: k.seeds, Seed: w.rnd.Int63(), Timing: raft.Usual(), Level: k.level}, 0)
 	r, found, err := ring.Open(k.disk, k.shape)
 	if err != nil {
 		panic("sim: " + k.name + ": " + err.Error())
@@ -50,7 +53,9 @@
 	k.ring = r
 	if found != nil {
 		if err = k.mach.Resume(found.Hard, found.View, found.List); err != nil {
-			panic(err)
+			k.aside = err.Error()
+			k.crash()
+			return
 		}
 	}
 	k.mach.Full = func() int {
@@ -69,6 +74,9 @@
 	if !k.frozen {
 		k.mach.Tick(k.w.mono(k.node), k.w.wall(k.node))
 		k.out()
+		if k.mach == nil {
+			return
+		}
 	}
 	k.w.after(int64(keeper.Tick), func() { k.tick(life) })
 }
@@ -87,6 +95,11 @@
 	for _, x := range o.Writes {
 		k.todo.Add(x)
 	}
+	if o.Quit != "" {
+		k.aside = o.Quit
+		k.crash()
+		return
+	}
 	k.work()
 	k.w.frames(k.node, o.Sends)
 }
--- a/sim/scene_test.go
+++ b/sim/scene_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"orchidward/book"
+	"orchidward/job"
 )
 
 // play runs one scene with the usual load and judges it.
@@ -433,6 +434,11 @@
 func TestCutOff(t *testing.T) {
 	t.Parallel()
 	p := Plan{Seed: 23, Window: 40000, Settle: 50000, Extra: func(w *World) {
+		w.at(10000, func() {
+			for i := 0; i < 6; i++ {
+				w.callers.hand("stock", job.Step{Name: "long", Tasks: 2, Demand: job.Demand{Cores: 1, Mem: 64}, Run: 25000})
+			}
+		})
 		w.at(12000, func() {
 			for i, r := range w.runners {
 				if r.mach.Running() > 0 {
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -142,6 +142,7 @@
 	o.SetWall(int64(m.Wall))
 	o.SetMet(uint64(m.Met))
 	o.SetSite(int64(m.Site))
+	o.SetLevel(m.Level)
 	if len(m.Entries) > 0 {
 		list, err := o.NewEntries(int32(len(m.Entries)))
 		if err != nil {
@@ -289,7 +290,7 @@
 	var l look
 	m = &raft.Msg{Kind: raft.Kind(o.Kind()), From: ids.Node(o.From()), To: ids.Node(o.To()), Term: ids.Term(o.Term()),
 		Index: ids.Index(o.Index()), LogTerm: ids.Term(o.LogTerm()), Commit: ids.Index(o.Commit()), No: o.No(), Force: o.Force(),
-		Hint: ids.Index(o.Hint()), Stamp: ids.Mono(o.Stamp()), Wall: ids.Wall(o.Wall()), Met: ids.Term(o.Met()), Site: ids.Millis(o.Site())}
+		Hint: ids.Index(o.Hint()), Stamp: ids.Mono(o.Stamp()), Wall: ids.Wall(o.Wall()), Met: ids.Term(o.Met()), Site: ids.Millis(o.Site()), Level: o.Level()}
 	list, err := o.Entries()
 	if err != nil {
 		return nil, err
--- a/wire/frame/frame.capnp
+++ b/wire/frame/frame.capnp
@@ -44,6 +44,7 @@
   viewTotal @19 :Int64;
   hasView @20 :Bool;
   site @21 :Int64;
+  level @22 :UInt16;
 }
 
 struct Ask {
