Policies: a row scores its runners by a small Starlark expression

Weighed: whole Starlark functions (bounded in steps by the library, but "a"*10**9 or x*=x is one step and unbounded in memory), Lua (no bound on either without hooks), our own grammar (one more parser). Chosen: Starlark parses and runs, our walk over its tree lets one expression through, without loops, names, lists or text. Only the leader runs it, over runners already fit; the book checks as before. Bad source: 422 with line and column. Failing: the built-in choice, counted, shown, logged. The column is stored only where it is given and only from level 2 on, so a fleet half upgraded keeps equal books (TestUpgrade).

--- a/book/sum.go
+++ b/book/sum.go
@@ -6,7 +6,10 @@
 import "hash/fnv"
 
 // Present is the level of commands and rules that this program knows.
-const Present uint16 = 1
+const Present uint16 = 2
+
+// PolicyLevel is the level from which on a table may hold policies.
+const PolicyLevel uint16 = 2
 
 const prime = 1099511628211
 
--- a/keeper/ask.go
+++ b/keeper/ask.go
@@ -178,6 +178,8 @@
 	switch {
 	case f.Any():
 		m.reply(c.peer, c.ID, f.Status(), f.Bad(), 0)
+	case ch.Policies() && m.book.Level < book.PolicyLevel:
+		m.refuse(c.peer, c.ID, 409, "level", "policies wait until every keeper has been upgraded", 5000)
 	case m.tables >= mostTables:
 		m.refuse(c.peer, c.ID, 429, "table-busy", "too many table changes under way", 500)
 	default:
--- a/keeper/lead.go
+++ b/keeper/lead.go
@@ -234,8 +234,9 @@
 		return
 	}
 	l.dirty, l.planned = false, m.now
-	out := plan.Round(m.book, m.fresh)
+	out := plan.Round(m.book, m.fresh, m.shelf)
 	m.reason = out.Why
+	m.fare(out.Policies)
 	if len(out.Push) > 0 {
 		m.event("push", "grants", len(out.Push))
 		l.place = m.propose(&book.Cmd{Recall: &book.Recall{Grants: out.Push, Why: book.StopPush}})
--- a/keeper/machine.go
+++ b/keeper/machine.go
@@ -10,6 +10,8 @@
 
 	"orchidward/book"
 	"orchidward/ids"
+	"orchidward/plan"
+	"orchidward/policy"
 	"orchidward/raft"
 	"orchidward/wire"
 )
@@ -46,6 +48,8 @@
 	term   ids.Term
 	lead   *lead
 	reason map[ids.Key]map[int]string
+	shelf  *policy.Shelf
+	fared  plan.Policies
 	Full   func() int
 }
 
@@ -67,7 +71,7 @@
 
 func New(boot Boot, now ids.Mono) (m *Machine) {
 	return &Machine{boot: boot, now: now, nextID: uint64(boot.Seed), gates: map[string]ids.Mono{}, waits: map[ids.Index]wait{}, relays: map[uint64]relay{},
-		find: newFind(), alone: now, reason: map[ids.Key]map[int]string{}, book: book.New(), Full: func() int { return 0 }}
+		find: newFind(), alone: now, reason: map[ids.Key]map[int]string{}, book: book.New(), shelf: policy.NewShelf(), fared: plan.Policies{}, Full: func() int { return 0 }}
 }
 
 // Resume starts from what the disk held. A view that doesn't decode is damage
--- /dev/null
+++ b/keeper/policies.go
@@ -0,0 +1,47 @@
+// How the rows' policies fare: counted, shown, and logged when one that worked
+// begins to fail, or one that failed works again.
+package keeper
+
+import (
+	"orchidward/ids"
+	"orchidward/plan"
+)
+
+// PolicyDoc is a row's policy as operators see it.
+type PolicyDoc struct {
+	Row    ids.Row `json:"row"`
+	Used   int     `json:"used"`
+	Failed int     `json:"failed"`
+	Last   string  `json:"lastFailure,omitempty"`
+}
+
+func (m *Machine) fare(list plan.Policies) {
+	for _, row := range m.book.Table.Names() {
+		one, ok := list[row]
+		if !ok {
+			continue
+		}
+		was := m.fared[row]
+		if one.Failed > 0 && was.Last != one.Last {
+			m.event("policy-failed", "row", row, "why", one.Last)
+		}
+		was.Used, was.Failed = was.Used+one.Used, was.Failed+one.Failed
+		if one.Failed > 0 {
+			was.Last = one.Last
+		}
+		m.fared[row] = was
+	}
+}
+
+func (m *Machine) showPolicies() (list []PolicyDoc) {
+	list = []PolicyDoc{}
+	for _, row := range m.book.Table.Names() {
+		if m.book.Table.Cell(row, "policy") == "" {
+			delete(m.fared, row)
+			continue
+		}
+		one := m.fared[row]
+		list = append(list, PolicyDoc{row, one.Used, one.Failed, one.Last})
+	}
+	return list
+}
--- a/keeper/show.go
+++ b/keeper/show.go
@@ -248,5 +248,5 @@
 		list = append(list, KeeperDoc{Member: s.Member, Name: s.ID.String(), Match: s.Match, Quiet: s.Quiet, Level: s.Level})
 	}
 	return map[string]any{"keepers": list, "term": m.term, "commit": m.raft.Commit(), "view": m.raft.ViewAt(),
-		"gates": m.liveGates(), "siteTime": book.Stamp(m.lead.clock.site(m.now)), "level": m.book.Level, "clocksAgree": m.lead.clock.agreed}
+		"gates": m.liveGates(), "siteTime": book.Stamp(m.lead.clock.site(m.now)), "level": m.book.Level, "policies": m.showPolicies(), "clocksAgree": m.lead.clock.agreed}
 }
--- a/plan/bin.go
+++ b/plan/bin.go
@@ -8,7 +8,6 @@
 	"orchidward/book"
 	"orchidward/ids"
 	"orchidward/job"
-	"orchidward/pack"
 )
 
 // bin is a runner as one round sees it.
@@ -81,10 +80,7 @@
 func best(bins []*bin, st job.Step, shun ids.Runner) (pick *bin) {
 	low := int64(0)
 	for _, n := range bins {
-		if !st.Demand.Fits(n.open()) || !pack.Has(n.r.Labels, st.Labels) {
-			continue
-		}
-		if n.trial && n.room != n.r.Free() {
+		if !n.fits(st) {
 			continue
 		}
 		if s := n.score(st.Demand, shun); pick == nil || s < low {
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -11,6 +11,7 @@
 	"orchidward/ids"
 	"orchidward/job"
 	"orchidward/pack"
+	"orchidward/policy"
 )
 
 const (
@@ -26,6 +27,8 @@
 	Puts []book.Put
 	Push []ids.Grant
 	Why  map[ids.Key]map[int]string
+	// Policies tells how the rows' policies fared.
+	Policies Policies
 }
 
 type round struct {
@@ -37,7 +40,10 @@
 	done  map[ids.Ref]bool
 	dull  map[shape]string
 	tasks int
-	out   Out
+	shelf *policy.Shelf
+	// scores counts the scorings by policies.
+	scores int
+	out    Out
 }
 
 // lump is what is placed at once: a gang, or one task.
@@ -61,9 +67,9 @@
 	seen int
 }
 
-func Round(b *book.Book, fresh func(r ids.Runner) bool) (out Out) {
-	r := &round{b: b, bins: take(b, fresh), total: b.Total(), use: map[ids.Row]job.Demand{}, dull: map[shape]string{}, done: map[ids.Ref]bool{}}
-	r.out.Why = map[ids.Key]map[int]string{}
+func Round(b *book.Book, fresh func(r ids.Runner) bool, shelf *policy.Shelf) (out Out) {
+	r := &round{b: b, shelf: shelf, bins: take(b, fresh), total: b.Total(), use: map[ids.Row]job.Demand{}, dull: map[shape]string{}, done: map[ids.Ref]bool{}}
+	r.out.Why, r.out.Policies = map[ids.Key]map[int]string{}, Policies{}
 	for _, row := range b.Table.Names() {
 		r.use[row] = b.InUse(row)
 	}
@@ -180,7 +186,7 @@
 	st := l.j.Spec.Steps[l.step]
 	for _, n := range l.nums {
 		t := l.j.Steps[l.step][n]
-		pick := best(r.bins, st, t.Shun)
+		pick := r.pick(l, st, t)
 		if pick == nil {
 			for _, b := range on {
 				b.room = b.room.Plus(st.Demand)
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -8,6 +8,7 @@
 	"orchidward/doc"
 	"orchidward/ids"
 	"orchidward/job"
+	"orchidward/policy"
 	"orchidward/table"
 )
 
@@ -35,7 +36,9 @@
 	}
 }
 
-func look(b *book.Book) (out Out) { return Round(b, func(ids.Runner) bool { return true }) }
+func look(b *book.Book) (out Out) {
+	return Round(b, func(ids.Runner) bool { return true }, policy.NewShelf())
+}
 
 func place(b *book.Book) (out Out) {
 	out = look(b)
--- /dev/null
+++ b/plan/policy.go
@@ -0,0 +1,85 @@
+// Rows may choose among the runners that are fit for a task by a policy of
+// their own. What is fit is decided before, and checked again by the book: a
+// policy orders, and can let nothing in.
+package plan
+
+import (
+	"orchidward/book"
+	"orchidward/ids"
+	"orchidward/job"
+	"orchidward/pack"
+	"orchidward/policy"
+)
+
+// mostScores bounds the scorings of one round; past it the built-in choice is
+// used, so that no policy holds the leader up.
+const mostScores = 5000
+
+// Tally is how a row's policy fared in one round.
+type Tally struct {
+	Used, Failed int
+	Last         string
+}
+
+func (n *bin) fits(st job.Step) (ok bool) {
+	return st.Demand.Fits(n.open()) && pack.Has(n.r.Labels, st.Labels) && !(n.trial && n.room != n.r.Free())
+}
+
+// pick finds the bin for one task, by the row's policy if it has one.
+func (r *round) pick(l *lump, st job.Step, t *book.Task) (at *bin) {
+	row := l.j.Spec.Pending
+	text := r.b.Table.Cell(row, "policy")
+	if text == "" {
+		return best(r.bins, st, t.Shun)
+	}
+	say := r.out.Policies[row]
+	defer func() { r.out.Policies[row] = say }()
+	at, why := r.scored(r.shelf.Get(text), l, st, t)
+	if why != "" {
+		say.Failed++
+		say.Last = why
+		return best(r.bins, st, t.Shun)
+	}
+	say.Used++
+	return at
+}
+
+// scored finds the bin the policy scores highest; a tie goes by the built-in
+// score, and a runner that failed this very task still comes last.
+func (r *round) scored(p *policy.Policy, l *lump, st job.Step, t *book.Task) (at *bin, why string) {
+	if p == nil {
+		return nil, "the policy does not compile"
+	}
+	high, low := 0.0, int64(0)
+	for _, n := range r.bins {
+		if !n.fits(st) {
+			continue
+		}
+		if r.scores++; r.scores > mostScores {
+			return nil, "too many scorings in one round"
+		}
+		score, err := p.Score(facts(n, l, st, t))
+		if err != nil {
+			return nil, err.Error()
+		}
+		own := n.score(st.Demand, t.Shun)
+		shunned, was := n.r.Name == t.Shun, at != nil && at.r.Name == t.Shun
+		if at == nil || was && !shunned || was == shunned && (score > high || score == high && own < low) {
+			at, high, low = n, score, own
+		}
+	}
+	return at, ""
+}
+
+func facts(n *bin, l *lump, st job.Step, t *book.Task) (f policy.Facts) {
+	f = policy.Facts{FreeCores: n.room.Cores, FreeMem: n.room.Mem, Cores: n.r.Cap.Cores, Mem: n.r.Cap.Mem, Running: int64(n.r.Open()), Good: n.r.Good, Bad: n.r.Bad,
+		Labels: map[string]bool{}, Zone: string(n.r.Domain), Rack: string(n.r.Rack),
+		NeedCores: st.Demand.Cores, NeedMem: st.Demand.Mem, Urgency: l.j.Spec.Urgency, Defects: t.Defects, Members: int64(len(l.nums))}
+	for _, one := range n.r.Labels {
+		f.Labels[string(one)] = true
+	}
+	return f
+}
+
+// Policies maps rows to how their policies fared.
+type Policies map[ids.Row]Tally
--- a/sim/side.go
+++ b/sim/side.go
@@ -17,6 +17,8 @@
 	racked string
 	sick   int64
 	gone   bool
+	// seen hears of every start, for a scene that wants to know.
+	seen func(e runner.Event)
 }
 
 func (w *World) addRunner(i int) (r *side) {
@@ -60,6 +62,9 @@
 	o := r.mach.Take()
 	for _, e := range o.Events {
 		r.w.Watch.Runner(r.name, e)
+		if e.What == "start" && r.seen != nil {
+			r.seen(e)
+		}
 	}
 	for _, p := range o.Polls {
 		leaving := r.mach.Mode() == "draining"
--- a/sim/versions_test.go
+++ b/sim/versions_test.go
@@ -49,6 +49,13 @@
 				w.at(9000, func() { w.swap(w.keepers[0], book.Present) })
 				w.at(12000, func() { w.callers.zone("north", true, func() bool { return true }) })
 				w.at(14000, func() { w.swap(w.keepers[1], book.Present) })
+				w.at(17000, func() {
+					w.callers.patch(w.callers.epoch, map[string]any{"push.policy": "1"}, func(status int, _ int64) {
+						if status != 409 {
+							t.Errorf("a policy with one former keeper left got %d", status)
+						}
+					})
+				})
 				w.at(18000, func() { low("two of three upgraded,") })
 				w.at(18500, func() { w.swap(w.keepers[0], 0) })
 				w.at(23000, func() { low("after a step back,"); w.swap(w.keepers[0], book.Present) })
--- a/table/change.go
+++ b/table/change.go
@@ -134,9 +134,23 @@
 		o.Faults().Sense(o.Path(key), "%s", why)
 		return
 	}
+	if col.Source && text == "" && !strings.Contains(key, ".") {
+		return
+	}
 	into[name] = text
 }
 
+// Policies tells whether the change touches a policy cell.
+func (c *Change) Policies() (yes bool) {
+	for r, cells := range c.Rows {
+		for k := range cells {
+			col, _ := Find(r, k)
+			yes = yes || col.Source
+		}
+	}
+	return yes
+}
+
 // JSON shows the table as the whole-table form reads it back.
 func (t *Table) JSON() (text []byte) {
 	rows := map[string]map[string]any{}
@@ -155,7 +169,7 @@
 	out = map[string]any{}
 	for _, c := range cols {
 		text := row[c.Name]
-		if n, err := strconv.ParseInt(text, 10, 64); err == nil && c.Words == nil && !c.Set {
+		if n, err := strconv.ParseInt(text, 10, 64); err == nil && c.Words == nil && !c.Set && !c.Source {
 			out[c.Name] = n
 			continue
 		}
--- a/table/column.go
+++ b/table/column.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"orchidward/ids"
+	"orchidward/policy"
 )
 
 // Column says what a cell may hold: a number between two bounds, one of some
@@ -20,6 +21,9 @@
 	High  int64
 	Words []string
 	Set   bool
+	// Source marks a cell that holds a policy. It stands in a row only when it
+	// is given: a table without one is the same as it was before there were any.
+	Source bool
 }
 
 const big = 1 << 40
@@ -36,6 +40,7 @@
 	{Name: "labels", Def: "*", Set: true},
 	{Name: "onOutage", Def: "wait", Words: []string{"push", "wait", "ride"}},
 	{Name: "onLoss", Def: "replace", Words: []string{"replace", "hold"}},
+	{Name: "policy", Source: true},
 }
 
 var Site = []Column{
@@ -72,6 +77,8 @@
 	switch {
 	case c.Set:
 		return checkSet(text)
+	case c.Source:
+		return checkSource(text)
 	case c.Words != nil:
 		for _, w := range c.Words {
 			if w == text {
@@ -87,6 +94,16 @@
 	return strconv.FormatInt(n, 10), ""
 }
 
+func checkSource(text string) (out string, why string) {
+	if text == "" {
+		return "", ""
+	}
+	if _, err := policy.Compile(text); err != nil {
+		return "", err.Error()
+	}
+	return text, ""
+}
+
 func checkSet(text string) (out string, why string) {
 	list := strings.Fields(text)
 	if len(list) > 16 {
--- a/table/table.go
+++ b/table/table.go
@@ -31,9 +31,12 @@
 func fill(cols []Column, from map[string]string) (row map[string]string) {
 	row = map[string]string{}
 	for _, c := range cols {
-		row[c.Name] = c.Def
-		if text, ok := from[c.Name]; ok {
+		text, ok := from[c.Name]
+		switch {
+		case ok:
 			row[c.Name] = text
+		case !c.Source:
+			row[c.Name] = c.Def
 		}
 	}
 	return row
@@ -120,6 +123,14 @@
 		}
 		for k, v := range cells {
 			row[k] = v
+			if col, _ := Find(r, k); col.Source && v == "" {
+				delete(row, k)
+			}
+		}
+		for k := range old {
+			if _, kept := row[k]; !kept {
+				t.Marks[string(r)+"."+k] = t.Epoch
+			}
 		}
 		for k, v := range row {
 			if old[k] != v || (!c.Whole && cells[k] != "") {
