--- a/sim/blow.go
+++ b/sim/blow.go
@@ -166,7 +166,12 @@
 		}
 	})
 	w.shuts[zone]++
-	w.after(2500, func() { w.shut(zone)() })
+	w.after(2500, func() {
+		w.shuts[zone]++
+		turn := w.shuts[zone]
+		c := w.callers
+		c.zone(zone, false, func() bool { return w.shuts[zone] == turn })
+	})
 	return back
 }
 
