--- a/cmd/clerk/fleet.go
+++ b/cmd/clerk/fleet.go
@@ -119,7 +119,7 @@
 		return err
 	}
 	return d.show(text, func(doc map[string]any) {
-		fmt.Printf("term %v  commit %v  view %v  site time %v\n", doc["term"], doc["commit"], doc["view"], doc["siteTime"])
+		fmt.Printf("term %v  commit %v  view %v  level %v  site time %v  clocks agree %v\n", doc["term"], doc["commit"], doc["view"], doc["level"], doc["siteTime"], doc["clocksAgree"])
 		for _, k := range list(doc, "keepers") {
 			role := "learner"
 			switch {
@@ -128,7 +128,10 @@
 			case k["voter"] == true:
 				role = "voter"
 			}
-			fmt.Printf("%v  %-8v %-22v %-8s match %v  quiet %vms\n", k["name"], k["domain"], k["addr"], role, k["match"], k["quietMs"])
+			fmt.Printf("%v  %-8v %-22v %-8s match %v  quiet %vms  knows level %v\n", k["name"], k["domain"], k["addr"], role, k["match"], k["quietMs"], k["level"])
+		}
+		for _, p := range list(doc, "policies") {
+			fmt.Printf("policy of %v: used %v, failed %v  %v\n", p["row"], p["used"], p["failed"], p["lastFailure"])
 		}
 	})
 }
