Rack closings lose their owner at every entry; a full site closes a zone by class

Missing: the owner's death was enumerated for zones only, and false preflight with push, wait and ride was held by tests of book and plan alone. Now: twelve entries of a rack's closing, out and back, killed and frozen; a full site whose zone closes with its leader well, killed or frozen just then: check pushes in, push waits, stock rides, gangs of each, and all ends after reopening.

--- /dev/null
+++ b/sim/outage_test.go
@@ -0,0 +1,176 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+
+	"orchidward/book"
+	"orchidward/ids"
+	"orchidward/job"
+)
+
+// standing counts the tasks of each row that stand in each state.
+func (w *World) standing() (out map[ids.Row]map[book.State]int) {
+	out = map[ids.Row]map[book.State]int{}
+	for _, j := range w.leader().mach.Book().Jobs {
+		row := j.Spec.Pending
+		if out[row] == nil {
+			out[row] = map[book.State]int{}
+		}
+		for _, tasks := range j.Steps {
+			for _, t := range tasks {
+				out[row][t.State]++
+			}
+		}
+	}
+	return out
+}
+
+// TestTightOutage closes a zone of a full site, so that preflight is false, and
+// takes the owner away just then or not. Each class does as its row chose:
+// check pushes the cheaper push row out, push waits, stock rides it out, gangs
+// of each as well. Reopened, all of it ends.
+func TestTightOutage(t *testing.T) {
+	for _, how := range []string{"", "leader-crash", "leader-freeze"} {
+		t.Run("owner "+how, func(t *testing.T) {
+			t.Parallel()
+			site := Gilde()
+			site.Cores, site.Faulty = 4, 0
+			var during map[ids.Row]map[book.State]int
+			var c *book.Closing
+			w := Run(Plan{Seed: 61, Site: site, Window: 30000, Settle: 70000, Extra: func(w *World) {
+				w.at(6600, func() { w.callers.stop = 0 })
+				w.at(7500, func() {
+					w.callers.readTable(func(epoch int64) {
+						w.callers.patch(epoch, map[string]any{"push.weight": 1, "stock.weight": 2, "check.weight": 4}, func(status int, _ int64) {
+							if status != 200 {
+								t.Errorf("the weights got %d", status)
+							}
+						})
+					})
+				})
+				w.at(8000, func() {
+					fill := func(row ids.Row, tasks int64, gang bool) {
+						w.callers.hand(row, job.Step{Name: "long", Tasks: tasks, Gang: gang, Demand: job.Demand{Cores: 1, Mem: 64}, Run: 20000})
+					}
+					for i := 0; i < 6; i++ {
+						fill("check", 1, false)
+						fill("push", 3, false)
+						fill("stock", 1, false)
+					}
+					fill("check", 3, true)
+					fill("stock", 4, true)
+					fill("push", 4, true)
+				})
+				w.at(13000, func() { w.callers.zone("north", true, func() bool { return true }) })
+				if how != "" {
+					w.at(13020, func() { w.strike(Fault{Dur: 8000, Kind: how}) })
+				}
+				w.at(19000, func() {
+					during = w.standing()
+					for _, one := range w.leader().mach.Book().Closings {
+						c = one
+					}
+					if c.Stage != book.Closed {
+						t.Errorf("6 s after the order the closing is at %s", c.Stage)
+					}
+				})
+				w.at(22000, func() { w.callers.zone("north", false, func() bool { return true }) })
+			}})
+			judge(t, Plan{Seed: 61}, w)
+			if c == nil || c.Fits || !c.Judged || len(c.Displaced) < 10 || c.Short.Cores == 0 {
+				t.Fatalf("the closing: %+v", c)
+			}
+			if n := during["stock"]; n[book.Riding] == 0 {
+				t.Errorf("stock rides it out: %v", n)
+			}
+			if n := during["check"]; n[book.Waiting]+n[book.Riding] > 0 {
+				t.Errorf("check pushes its way in: %v", n)
+			}
+			if n := during["push"]; n[book.Waiting] == 0 || n[book.Riding] > 0 {
+				t.Errorf("push waits: %v", n)
+			}
+			for row, n := range w.standing() {
+				if n[book.Waiting]+n[book.Riding]+n[book.Placed] > 0 {
+					t.Errorf("in the end %s: %v", row, n)
+				}
+			}
+		})
+	}
+}
+
+// TestRackOwnerDies takes the owner of a rack's closing away at every log entry
+// from the first word of leaving on, and again when the rack stays after all.
+func TestRackOwnerDies(t *testing.T) {
+	for _, how := range []string{"crash", "freeze"} {
+		for n := 0; n < 12; n++ {
+			for _, back := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%d/%v", how, n, back), func(t *testing.T) {
+					t.Parallel()
+					rackOwnerDies(t, how, n, back)
+				})
+			}
+		}
+	}
+}
+
+func rackOwnerDies(t *testing.T, how string, n int, back bool) {
+	base, sprung := uint64(0), false
+	var closed *book.Closing
+	w := Run(Plan{Seed: int64(n) + 400, Site: Gilde(), Window: 26000, Settle: 30000, Extra: func(w *World) {
+		w.Site.Rate = 50
+		arm := func() {
+			if k := w.leader(); k != nil {
+				base = uint64(k.mach.Raft().Last())
+			}
+		}
+		w.trap = func(k *keep) (yes bool) {
+			if base == 0 || sprung || !k.leads() || uint64(k.mach.Raft().Last()) < base+uint64(n) {
+				return false
+			}
+			sprung = true
+			if how == "crash" {
+				w.after(6000, w.stopKeeper(k))
+				return true
+			}
+			w.after(6000, w.hold(k.node))
+			return false
+		}
+		w.at(10000, func() {
+			if !back {
+				arm()
+			}
+			for _, r := range w.runners[:3] {
+				r.drain(4000)
+			}
+		})
+		w.at(17500, func() {
+			for _, one := range w.leader().mach.Book().Closings {
+				copy := *one
+				closed = &copy
+			}
+			if back {
+				arm()
+			}
+			for _, r := range w.runners[:3] {
+				r.stay()
+			}
+		})
+	}})
+	judge(t, Plan{Seed: int64(n) + 400}, w)
+	if !sprung {
+		t.Fatal("the owner was never taken away")
+	}
+	if closed == nil || closed.Stage != book.Closed || len(closed.Scope) != 3 || closed.Verdict == "" || closed.Loose > 0 {
+		t.Errorf("3.5 s after the departure: %+v", closed)
+	}
+	list := w.leader().mach.Book().Closings
+	for _, one := range list {
+		if one.Stage != book.Open {
+			t.Errorf("in the end: %+v", one)
+		}
+	}
+	if len(list) != 1 {
+		t.Errorf("%d closings for one rack", len(list))
+	}
+}
