Every address may change: gates lead to a seat, and a leader not yet known is answered

Found by a new scene that replaces all three keepers at new addresses one after another, then all gates. Cause 1: an empty keeper whose one live seed is a gate asked that gate for a seat, which gates do not give; it never joined. It now asks the keepers the gate tells of. Cause 2: a learner's first view can be of a time before the present leader was a member; having no address for it, the learner never answered, and the third replaced keeper never got its seat (28 s and counting). A leader not among the known members is answered on the line it was heard on. After: the three new keepers are the voters, runners know only the new gates, no promise broken. A wound for each.

--- a/keeper/find.go
+++ b/keeper/find.go
@@ -124,6 +124,8 @@
 	Level  uint16     `json:"level,omitempty"`
 }
 
+// join asks for a place as a learner: whoever told of the group, if that was a
+// keeper, or else the keepers that a gate told of.
 func (m *Machine) join(from wire.Peer, t *wire.Tell) {
 	for _, one := range t.Members {
 		if one.ID == m.boot.ID && one.Addr == m.boot.Addr {
@@ -137,8 +139,17 @@
 	if err != nil {
 		panic(err)
 	}
-	m.nextID++
-	m.send(from, wire.Msg{Ask: &wire.Ask{ID: m.nextID, Verb: "JOIN", Path: "/", Body: body, Budget: seekLife}})
+	to := []wire.Peer{from}
+	if t.Role != "keeper" {
+		to = nil
+		for _, one := range t.Members {
+			to = append(to, wire.Peer(one.Addr))
+		}
+	}
+	for _, peer := range to {
+		m.nextID++
+		m.send(peer, wire.Msg{Ask: &wire.Ask{ID: m.nextID, Verb: "JOIN", Path: "/", Body: body, Budget: seekLife}})
+	}
 }
 
 // rejoin asks for a place again when this keeper, long without a leader,
--- a/keeper/machine.go
+++ b/keeper/machine.go
@@ -31,8 +31,11 @@
 	// runs on from then, however late it is decided.
 	gots []got
 	sums sums
-	over bool
-	out  Out
+	// voice is who leads, by its own word: the members this keeper knows of may
+	// be of a time before that one was among them.
+	voice voice
+	over  bool
+	out   Out
 
 	founders []raft.Member
 	find     *find
@@ -62,6 +65,12 @@
 	size  int
 }
 
+// voice is a keeper and the line it was heard on.
+type voice struct {
+	id   ids.Node
+	peer wire.Peer
+}
+
 // relay is a request passed on to the leader for another.
 type relay struct {
 	peer wire.Peer
@@ -142,6 +151,9 @@
 	case msg.Tell != nil:
 		m.tell(from, msg.Tell)
 	case msg.Raft != nil && m.raft != nil:
+		if msg.Raft.Kind == raft.Append || msg.Raft.Kind == raft.Load {
+			m.voice = voice{msg.Raft.From, from}
+		}
 		m.raft.Step(*msg.Raft, m.now, wall)
 	case msg.Ask != nil:
 		m.turn()
@@ -200,8 +212,12 @@
 		m.event("view-loaded", "index", out.Load.Index)
 	}
 	for _, msg := range out.Msgs {
-		if mem, ok := m.raft.Member(msg.To); ok {
+		mem, ok := m.raft.Member(msg.To)
+		switch {
+		case ok:
 			m.send(wire.Peer(mem.Addr), wire.Msg{Raft: &msg})
+		case msg.To == m.voice.id:
+			m.send(m.voice.peer, wire.Msg{Raft: &msg})
 		}
 	}
 	if out.Write != nil {
--- a/sim/side.go
+++ b/sim/side.go
@@ -70,6 +70,7 @@
 		leaving := r.mach.Mode() == "draining"
 		r.w.http(r.node, p.Gate, "POST", "/v1/runners/"+r.name+"/poll", p.Body, int64(p.Wait), func(status int, body []byte) {
 			r.w.Polled += int64(len(p.Body) + len(body))
+			r.w.Polls++
 			if status == 200 && leaving && r.mach.Mode() == "draining" {
 				r.w.Watch.Leaves(r.name)
 			}
--- a/sim/world.go
+++ b/sim/world.go
@@ -104,6 +104,7 @@
 	Bytes  int64
 	// Polled counts the bytes of runners\' polls and their answers.
 	Polled int64
+	Polls  int64
 	// Struck counts the faults that were really in force, by kind.
 	Struck map[string]int
 	// Dull gives every process a clock that stands still while it sleeps, as
--- a/yard/break/main.go
+++ b/yard/break/main.go
@@ -67,6 +67,8 @@
 	{"an old version joins", "keeper/ask.go", "if j.Level < m.book.Level {", "if false {", []string{"./sim", "-run", "TestLeftBehind"}, "former version joined", nil},
 	{"torn tail keeps its time", "keeper/clock.go", "torn > 0 && m.gots", "torn < 0 && m.gots", trial("tables"), "P4 at", nil},
 	{"an overtaken draft is finished", "ring/draft.go", "if d.view.Index <= r.view {", "if d.view.Index == 0 {", []string{"./ring"}, "TestDraft", nil},
+	{"a gate is asked for a seat", "keeper/find.go", "if t.Role != \"keeper\" {", "if false {", []string{"./sim", "-run", "TestEveryAddress"}, "nobody leads", nil},
+	{"an unknown leader gets no answer", "keeper/machine.go", "case msg.To == m.voice.id:", "case msg.To == 0:", []string{"./sim", "-run", "TestEveryAddress"}, "members:", nil},
 	{"clock stands still in sleep", "crew/clock.go", "const source = unix.CLOCK_BOOTTIME", "const source = unix.CLOCK_MONOTONIC", []string{"./crew"}, "does not count suspend", nil},
 	{"step not held to its stage", "book/duty.go", "if c == nil || c.Stage != s.From {", "if c == nil {", []string{"./book", "-run", "TestRide"}, "a step from a stage long past", nil},
 	{"torn records taken", "ring/record.go", "if binary.LittleEndian.Uint32(rec[16:]) != sum(rec) {", "if false {", []string{"./ring"}, "FAIL", nil},
