--- /dev/null
+++ b/gate/machine_test.go
@@ -0,0 +1,140 @@
+package gate
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"orchidward/ids"
+	"orchidward/keeper"
+	"orchidward/raft"
+	"orchidward/table"
+	"orchidward/wire"
+)
+
+// touched is a gate in touch with a leader, at 1000 ms.
+func touched(t *testing.T) (m *Machine) {
+	t.Helper()
+	m = New(Boot{Addr: "g", HTTP: "g", Domain: "north", Seeds: []string{"k"}}, 0)
+	m.Frame("k", wire.Msg{Tell: &wire.Tell{Role: "keeper", Founded: true, Lead: 7, Members: []raft.Member{{ID: 7, Addr: "k", Voter: true}}}}, 900)
+	m.Tick(950)
+	first := table.First()
+	text, err := json.Marshal(keeper.Sync{Epoch: 1, Table: &keeper.Sheet{Epoch: 1, Rows: first.Rows}, Lead: ids.Node(7).String(), Members: m.members})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range m.Take().Sends {
+		if s.Msg.Ask != nil && s.Msg.Ask.Verb == "SYNC" {
+			m.Frame("k", wire.Msg{Reply: &wire.Reply{ID: s.Msg.Ask.ID, Status: 200, Body: text}}, 1000)
+		}
+	}
+	m.Take()
+	if !m.Ready(1000) {
+		t.Fatal("not in touch")
+	}
+	return m
+}
+
+func passed(o Out) (a *wire.Ask) {
+	for _, s := range o.Sends {
+		if s.Msg.Ask != nil && s.Msg.Ask.Verb != "SYNC" {
+			a = s.Msg.Ask
+		}
+	}
+	return a
+}
+
+// TestGivenUpAtOnce: what a gate cannot pass on, or no longer expects an answer
+// to, is answered then and there, and never held until its budget is over.
+func TestGivenUpAtOnce(t *testing.T) {
+	m := touched(t)
+	m.Request(Request{ID: 1, Verb: "GET", Path: "/v1/table", Budget: 30000}, 1100)
+	if passed(m.Take()) == nil {
+		t.Fatal("not passed on")
+	}
+	m.Tick(2000)
+	if o := m.Take(); len(o.Answers) != 1 || o.Answers[0].Status != 503 || o.Answers[0].Retry == 0 {
+		t.Errorf("out of touch, with 29 s of budget left: %+v", o.Answers)
+	}
+	m.Request(Request{ID: 2, Verb: "GET", Path: "/v1/table", Budget: 30000}, 2100)
+	if o := m.Take(); len(o.Answers) != 1 || o.Answers[0].Status != 503 {
+		t.Errorf("asked while out of touch: %+v", o.Answers)
+	}
+}
+
+// TestBudget: an answer that does not come leaves the outcome unknown, and the
+// gate says that it is.
+func TestBudget(t *testing.T) {
+	m := touched(t)
+	m.Request(Request{ID: 1, Verb: "PATCH", Path: "/v1/table", Body: []byte(`{"base":1,"cells":{"a.weight":2}}`), Budget: 300}, 1100)
+	m.Take()
+	m.Tick(1390)
+	if o := m.Take(); len(o.Answers) > 0 {
+		t.Errorf("before its time: %+v", o.Answers)
+	}
+	m.Tick(1400)
+	if o := m.Take(); len(o.Answers) != 1 || o.Answers[0].Status != 504 {
+		t.Errorf("after its time: %+v", o.Answers)
+	}
+}
+
+// TestStaleTable: a request that met a newer table is checked and passed again
+// by that table; an older one that comes late never replaces it.
+func TestStaleTable(t *testing.T) {
+	m := touched(t)
+	job := []byte(`{"pending":"default","steps":[{"name":"s","tasks":3}]}`)
+	m.Request(Request{ID: 1, Verb: "PUT", Path: "/v1/jobs/a/b", Body: job, Budget: 3000}, 1100)
+	a := passed(m.Take())
+	if a == nil || a.Epoch != 1 {
+		t.Fatalf("passed on as %+v", a)
+	}
+	sheet := func(epoch ids.Epoch, most string) (text []byte) {
+		now := table.First()
+		now.Rows["default"]["maxTasks"] = most
+		text, err := json.Marshal(keeper.Sheet{Epoch: epoch, Rows: now.Rows})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return text
+	}
+	m.Frame("k", wire.Msg{Reply: &wire.Reply{ID: a.ID, Status: 409, Stale: true, Body: sheet(5, "10")}}, 1150)
+	o := m.Take()
+	if b := passed(o); b == nil || b.Epoch != 5 || len(o.Answers) > 0 {
+		t.Fatalf("after the newer table: %+v, %+v", b, o.Answers)
+	} else {
+		a = b
+	}
+	m.Frame("k", wire.Msg{Reply: &wire.Reply{ID: a.ID, Status: 409, Stale: true, Body: sheet(4, "1")}}, 1160)
+	if m.Epoch() != 5 {
+		t.Errorf("the table slid back to %d", m.Epoch())
+	}
+	a = passed(m.Take())
+	m.Frame("k", wire.Msg{Reply: &wire.Reply{ID: a.ID, Status: 409, Stale: true, Body: sheet(6, "2")}}, 1170)
+	if o = m.Take(); len(o.Answers) != 1 || o.Answers[0].Status != 422 {
+		t.Errorf("by a table that forbids it: %+v", o.Answers)
+	}
+}
+
+// TestFullGate: bodies in hand are bounded by their bytes.
+func TestFullGate(t *testing.T) {
+	m := touched(t)
+	body := append([]byte(`{"pending":"default","steps":[{"name":"s"}]}`), bytes.Repeat([]byte(" "), 1<<20)...)
+	full := 0
+	for i := uint64(1); i <= 80; i++ {
+		m.Request(Request{ID: i, Verb: "PUT", Path: "/v1/jobs/a/b", Body: body, Budget: 3000}, 1100)
+		for _, a := range m.Take().Answers {
+			if a.Status == 503 && a.Retry > 0 {
+				full++
+			}
+		}
+	}
+	if full < 10 || full > 20 || m.bytes > mostBytes {
+		t.Errorf("%d of 80 MiB refused, %d bytes in hand", full, m.bytes)
+	}
+	for i := uint64(1); i <= 80; i++ {
+		m.Drop(i)
+	}
+	if m.bytes != 0 || m.Waiting() != 0 {
+		t.Errorf("all gone, and %d bytes are counted", m.bytes)
+	}
+}
