--- a/sim/disk.go
+++ b/sim/disk.go
@@ -7,11 +7,13 @@
 type disk struct {
 	files map[string][]byte
 	tear  int
+	full  bool
 }
 
 func newDisk() (d *disk) { return &disk{files: map[string][]byte{}, tear: -1} }
 
 var errTorn = errors.New("power lost")
+var errFull = errors.New("no space left on the disk")
 
 func (d *disk) Read(name string) (data []byte, err error) {
 	return append([]byte(nil), d.files[name]...), nil
@@ -23,6 +25,9 @@
 }
 
 func (d *disk) Write(name string, off int, data []byte) (err error) {
+	if d.full {
+		return errFull
+	}
 	if d.tear >= 0 {
 		copy(d.files[name][off:], data[:min(d.tear, len(data))])
 		return errTorn
@@ -32,6 +37,9 @@
 }
 
 func (d *disk) Grow(name string, off int, data []byte) (err error) {
+	if d.full {
+		return errFull
+	}
 	if d.tear >= 0 {
 		return errTorn
 	}
@@ -49,6 +57,9 @@
 }
 
 func (d *disk) Swap(name string, data []byte) (err error) {
+	if d.full {
+		return errFull
+	}
 	if d.tear >= 0 {
 		return errTorn
 	}
--- a/sim/keep.go
+++ b/sim/keep.go
@@ -2,6 +2,8 @@
 package sim
 
 import (
+	"github.com/go-faster/errors"
+
 	"orchidward/book"
 	"orchidward/ids"
 	"orchidward/keeper"
@@ -149,6 +151,11 @@
 			k.draft = nil
 		}
 	}
+	if errors.Is(err, errFull) {
+		k.aside = err.Error()
+		k.crash()
+		return
+	}
 	if err != nil {
 		k.w.Watch.Breach("disk", "%s: %v", k.name, err)
 		return
--- a/sim/scene_test.go
+++ b/sim/scene_test.go
@@ -452,3 +452,40 @@
 		t.Errorf("too little evidence: %v", w.Watch.Counts)
 	}
 }
+
+// TestDiskFails: the leader's disk takes no more, in the midst of writing. It
+// steps aside at once, acknowledging nothing more; the others go on without it,
+// and once its disk is mended it comes back with all it had.
+func TestDiskFails(t *testing.T) {
+	for seed := int64(1); seed <= 3; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, Plan{Seed: seed, Window: 26000, Settle: 35000, Extra: func(w *World) {
+				var k *keep
+				w.at(9000+seed*41, func() {
+					k = w.leader()
+					k.disk.full = true
+				})
+				w.at(10000, func() {
+					if k.up || k.aside == "" {
+						t.Error("a keeper whose disk takes nothing goes on")
+					}
+				})
+				w.at(15000, func() {
+					if lead := w.leader(); lead == nil || lead == k {
+						t.Error("nobody took over")
+					}
+				})
+				w.at(18000, func() {
+					k.disk.full = false
+					k.begin()
+				})
+				w.at(24000, func() {
+					if lead := w.leader(); lead == nil || lead.mach.Raft().Commit()-k.mach.Raft().Commit() > 200 {
+						t.Error("back again, it has not caught up")
+					}
+				})
+			}})
+		})
+	}
+}
