--- a/sim/outage_test.go
+++ b/sim/outage_test.go
@@ -115,30 +115,14 @@
 }
 
 func rackOwnerDies(t *testing.T, how string, n int, back bool) {
-	base, sprung := uint64(0), false
+	trap := &snare{how: how, n: n, away: 6000}
 	var closed *book.Closing
 	w := Run(Plan{Seed: int64(n) + 400, Site: Gilde(), Window: 26000, Settle: 30000, Extra: func(w *World) {
 		w.Site.Rate = 50
-		arm := func() {
-			if k := w.leader(); k != nil {
-				base = uint64(k.mach.Raft().Last())
-			}
-		}
-		w.trap = func(k *keep) (yes bool) {
-			if base == 0 || sprung || !k.leads() || uint64(k.mach.Raft().Last()) < base+uint64(n) {
-				return false
-			}
-			sprung = true
-			if how == "crash" {
-				w.after(6000, w.stopKeeper(k))
-				return true
-			}
-			w.after(6000, w.hold(k.node))
-			return false
-		}
+		trap.set(w)
 		w.at(10000, func() {
 			if !back {
-				arm()
+				trap.arm()
 			}
 			for _, r := range w.runners[:3] {
 				r.drain(4000)
@@ -150,7 +134,7 @@
 				closed = &copy
 			}
 			if back {
-				arm()
+				trap.arm()
 			}
 			for _, r := range w.runners[:3] {
 				r.stay()
@@ -158,7 +142,7 @@
 		})
 	}})
 	judge(t, Plan{Seed: int64(n) + 400}, w)
-	if !sprung {
+	if !trap.sprung {
 		t.Fatal("the owner was never taken away")
 	}
 	if closed == nil || closed.Stage != book.Closed || len(closed.Scope) != 3 || closed.Verdict == "" || closed.Loose > 0 {
--- a/sim/scene_test.go
+++ b/sim/scene_test.go
@@ -61,43 +61,20 @@
 func ownerDies(t *testing.T, how string, n int, back bool) {
 	var c *book.Closing
 	var first []string
-	base, sprung := uint64(0), false
+	trap := &snare{how: how, n: n, away: 8000}
 	p := Plan{Seed: int64(n) + 100, Window: 30000, Settle: 20000, Extra: func(w *World) {
 		w.Site.Rate = 60
-		arm := func() {
-			if k := w.leader(); k != nil {
-				base = uint64(k.mach.Raft().Last())
-			}
-		}
-		w.trap = func(k *keep) (yes bool) {
-			if base == 0 || sprung || !k.leads() || uint64(k.mach.Raft().Last()) < base+uint64(n) {
-				return false
-			}
-			sprung = true
-			switch how {
-			case "crash":
-				undo := w.stopKeeper(k)
-				w.after(8000, undo)
-				return true
-			case "freeze":
-				undo := w.hold(k.node)
-				w.after(8000, undo)
-			case "alone":
-				undo := w.apart(k.node, true, true)
-				w.after(8000, undo)
-			}
-			return false
-		}
+		trap.set(w)
 		still := func() bool { return true }
 		w.at(12000, func() {
 			if !back {
-				arm()
+				trap.arm()
 			}
 			w.callers.zone("north", true, still)
 		})
 		w.at(22000, func() {
 			if back {
-				arm()
+				trap.arm()
 			}
 			if k := w.leader(); k != nil {
 				for _, x := range k.mach.Book().Closings {
@@ -108,7 +85,7 @@
 		})
 	}}
 	w := play(t, p)
-	if !sprung {
+	if !trap.sprung {
 		t.Fatal("the owner was never taken away")
 	}
 	for _, x := range w.leader().mach.Book().Closings {
@@ -252,25 +229,13 @@
 			t.Parallel()
 			gaps := []int64{}
 			for seed := int64(1); seed <= 8; seed++ {
-				last, gap := int64(0), int64(0)
+				gap := int64(0)
 				p := Plan{Seed: seed, Window: 20000, Settle: 20000, Extra: func(w *World) {
 					w.at(8000+seed*31, func() { w.strike(Fault{Dur: 10000, Kind: how}) })
 					if how == "power" {
 						w.at(8300, func() { w.heal(); w.calm = 0 })
 					}
-					var look func()
-					look = func() {
-						if s := w.callers.served; s != last {
-							if last > 7000 {
-								gap = max(gap, s-last)
-							}
-							last = s
-						}
-						if w.Now < 19000 {
-							w.after(10, look)
-						}
-					}
-					w.at(7000, look)
+					w.longest(7000, 19000, &gap)
 				}}
 				play(t, p)
 				gaps = append(gaps, gap)
--- a/sim/trial_test.go
+++ b/sim/trial_test.go
@@ -84,22 +84,8 @@
 				if one.site != nil {
 					one.site(&p.Site)
 				}
-				gap, last := int64(0), int64(0)
-				p.Extra = func(w *World) {
-					var look func()
-					look = func() {
-						if s := w.callers.served; s != last {
-							if last > 0 {
-								gap = max(gap, s-last)
-							}
-							last = s
-						}
-						if w.Now < p.Window {
-							w.after(20, look)
-						}
-					}
-					w.at(7000, look)
-				}
+				gap := int64(0)
+				p.Extra = func(w *World) { w.longest(7000, p.Window, &gap) }
 				w := Run(p)
 				judge(t, p, w)
 				if one.enough != nil && !one.enough(w) {
