Settings files may hold large numbers; boot and rules have tests

Cause: numbers of a settings file went through float64, so that file-kb 1048576 arrived as 1.+06 and was refused. Numbers are kept as written; more than one document in a file is refused.

--- a/boot/boot.go
+++ b/boot/boot.go
@@ -4,6 +4,7 @@
 package boot
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/netip"
@@ -29,7 +30,12 @@
 		return nil, errors.Wrap(err, "settings file")
 	}
 	f = &File{Path: path}
-	if err = json.Unmarshal(data, &f.vals); err != nil {
+	if !json.Valid(data) {
+		return nil, errors.Errorf("settings file %s is not one JSON object", path)
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.UseNumber()
+	if err = d.Decode(&f.vals); err != nil {
 		return nil, errors.Wrapf(err, "settings file %s", path)
 	}
 	return f, nil
--- /dev/null
+++ b/boot/boot_test.go
@@ -0,0 +1,79 @@
+package boot
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/alecthomas/kong"
+)
+
+type flags struct {
+	Boot   string
+	Addr   string
+	Seeds  []string
+	FileKb int64
+	Slow   bool
+}
+
+func write(t *testing.T, text string) (path string) {
+	t.Helper()
+	path = filepath.Join(t.TempDir(), "boot.json")
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func parse(t *testing.T, text string, args ...string) (f flags, err error) {
+	t.Helper()
+	from, err := ReadFile(write(t, text))
+	if err != nil {
+		return f, err
+	}
+	k, err := kong.New(&f, kong.Resolvers(from))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = k.Parse(args)
+	return f, err
+}
+
+// TestSettingsFile: values of every kind come through as they were written,
+// large numbers among them, and the command line wins.
+func TestSettingsFile(t *testing.T) {
+	f, err := parse(t, `{"addr": "10.0.0.1:7001", "seeds": ["10.0.0.1:1", "10.0.0.2:2"], "file-kb": 1048576, "slow": true}`, "--addr", "10.0.0.9:9")
+	if err != nil || f.Addr != "10.0.0.9:9" || strings.Join(f.Seeds, " ") != "10.0.0.1:1 10.0.0.2:2" || f.FileKb != 1048576 || !f.Slow {
+		t.Errorf("%+v, %v", f, err)
+	}
+	for text, want := range map[string]string{
+		`{"adr": "x", "zones": 1}`:  "unknown keys: adr, zones",
+		`{"addr": `:                 "settings file",
+		`{"file-kb": "many"}`:       "file-kb",
+		`{"file-kb": 1.5}`:          "file-kb",
+		`{"addr": "a"} {"addr": 1}`: "settings file",
+	} {
+		if _, err = parse(t, text); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, want %s", text, err, want)
+		}
+	}
+}
+
+// TestFaultsAllAtOnce: every fault is named, with its key.
+func TestFaultsAllAtOnce(t *testing.T) {
+	c := &Check{}
+	c.Addr("addr", "localhost:1")
+	c.Addrs("seeds", []string{"10.0.0.1:1", "10.0.0.2"}, 3)
+	c.Name("domain", "no rth")
+	c.Range("files", 2, 3, 99)
+	got := strings.Join(c.Faults(), "; ")
+	for _, want := range []string{"addr: want IP:PORT", "seeds: want at least 3, have 2", `seeds: want IP:PORT, have "10.0.0.2"`, "domain: want 1 to 64", "files: want 3 to 99, have 2"} {
+		if !strings.Contains(got, want) {
+			t.Errorf("%s lacks %s", got, want)
+		}
+	}
+	if c = new(Check); len(c.Faults()) > 0 {
+		t.Error("faults out of nothing")
+	}
+}
