Read once more: twin checks made one, work a poll did twice done once

No behaviour meant to change, no bound or assertion touched. The observer's three moments after which nothing may start are one function, and its two looks at cancelled work one; a gang's partners are looked up once a member and poll, not twice; the runners with news are no longer listed and sorted by the book only to be sorted again by the leader, nor at all by followers; policies are tallied only in rounds that asked one, and forgotten there instead of in a GET; a wrapper of one index and a time nothing read are gone; whether a cell holds a policy is asked in one place, and no longer guessed from a dot in a key.

--- a/book/book.go
+++ b/book/book.go
@@ -211,14 +211,13 @@
 	b.hot[n] = true
 }
 
-// Hot lists the runners that may have something new to hear, and forgets them.
-func (b *Book) Hot() (out []ids.Runner) {
+// Cool forgets the runners that may have something new to hear, after telling
+// of each, in no order.
+func (b *Book) Cool(tell func(n ids.Runner)) {
 	for n := range b.hot {
-		out = append(out, n)
+		tell(n)
 	}
 	clear(b.hot)
-	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
-	return out
 }
 
 func (r *Runner) GrantIDs() (out []ids.Grant) {
--- a/keeper/gang.go
+++ b/keeper/gang.go
@@ -18,7 +18,7 @@
 // gangSpan is how long a member may go on without word: less than a grant, and
 // longer than a change of leaders takes.
 func (m *Machine) gangSpan(g *book.Grant) (s ids.Span) {
-	if m.book.Level < 1 || !m.spread(g) {
+	if m.book.Level < 1 || !spread(g, m.book.Partners(g)) {
 		return 0
 	}
 	return m.book.Table.Site("grantMs") * 7 / 10
@@ -26,8 +26,8 @@
 
 // spread tells whether the grant is a gang member's whose partners hold grants
 // on other runners.
-func (m *Machine) spread(g *book.Grant) (yes bool) {
-	for _, p := range m.book.Partners(g) {
+func spread(g *book.Grant, partners []*book.Grant) (yes bool) {
+	for _, p := range partners {
 		if p.Runner != g.Runner {
 			return true
 		}
@@ -51,11 +51,12 @@
 func (m *Machine) wholes(c *contact, a *poll.Answer) (word bool) {
 	for id := range c.running {
 		g := m.book.Grants[id]
-		if g == nil || g.Stop != "" || !m.spread(g) {
+		if g == nil || g.Stop != "" {
 			continue
 		}
-		whole := true
-		for _, p := range m.book.Partners(g) {
+		partners := m.book.Partners(g)
+		whole := spread(g, partners)
+		for _, p := range partners {
 			whole = whole && m.runs(p)
 		}
 		if whole {
@@ -81,7 +82,7 @@
 			continue
 		}
 		for _, id := range r.GrantIDs() {
-			if g := m.book.Grants[id]; g.Stop == "" && m.spread(g) {
+			if g := m.book.Grants[id]; g.Stop == "" && spread(g, m.book.Partners(g)) {
 				late = append(late, id)
 			}
 		}
--- a/keeper/lead.go
+++ b/keeper/lead.go
@@ -16,7 +16,7 @@
 	runners map[ids.Runner]*contact
 	placed  map[ids.Grant]ids.Mono
 	sure    map[ids.Grant]bool
-	duty    map[string]errand
+	duty    map[string]ids.Index
 	entered map[string]entry
 	place   ids.Index
 	losing  map[ids.Runner]ids.Index
@@ -29,7 +29,6 @@
 	planned ids.Mono
 	clock   clock
 	beat    ids.Mono
-	rose    ids.Mono
 }
 
 // contact is a runner as the leader has it in hand.
@@ -57,11 +56,6 @@
 	since  ids.Mono
 }
 
-// errand is a duty step proposed and not yet seen applied.
-type errand struct {
-	index ids.Index
-}
-
 // entry notes when, by this leader's clock, a closing came to its stage.
 type entry struct {
 	stage book.Stage
@@ -70,7 +64,7 @@
 
 func (m *Machine) rise() {
 	l := &lead{runners: map[ids.Runner]*contact{}, placed: map[ids.Grant]ids.Mono{}, sure: map[ids.Grant]bool{},
-		duty: map[string]errand{}, entered: map[string]entry{}, losing: map[ids.Runner]ids.Index{}, hot: map[ids.Runner]bool{}, dirty: true, planned: -planGap, rose: m.now}
+		duty: map[string]ids.Index{}, entered: map[string]entry{}, losing: map[ids.Runner]ids.Index{}, hot: map[ids.Runner]bool{}, dirty: true, planned: -planGap}
 	for _, n := range m.book.RunnerNames() {
 		l.runners[n] = &contact{inc: m.book.Runners[n].Inc, heard: m.now}
 	}
@@ -175,7 +169,7 @@
 	l := m.lead
 	for _, id := range m.book.ClosingIDs() {
 		c := m.book.Closings[id]
-		if e, ok := l.duty[id]; ok && e.index > m.at {
+		if l.duty[id] > m.at {
 			continue
 		}
 		if l.entered[id].stage != c.Stage {
@@ -186,7 +180,7 @@
 			continue
 		}
 		if step := m.next(c, m.now.Since(l.entered[id].at)); step != nil {
-			l.duty[id] = errand{m.propose(&book.Cmd{Step: step})}
+			l.duty[id] = m.propose(&book.Cmd{Step: step})
 		}
 	}
 }
--- a/keeper/machine.go
+++ b/keeper/machine.go
@@ -267,14 +267,13 @@
 	}
 	m.sums.put(e.Index, m.book.Sum)
 	m.logged(c, res)
-	if m.lead == nil {
-		m.book.Hot()
-	}
-	if m.lead != nil {
-		m.lead.dirty = true
-		for _, n := range m.book.Hot() {
+	m.book.Cool(func(n ids.Runner) {
+		if m.lead != nil {
 			m.lead.hot[n] = true
 		}
+	})
+	if m.lead != nil {
+		m.lead.dirty = true
 		for id := first; id < m.book.NextGrant; id++ {
 			m.lead.placed[id] = m.now
 		}
--- a/keeper/policies.go
+++ b/keeper/policies.go
@@ -1,5 +1,5 @@
-// How the rows' policies fare: counted, shown, and logged when one that worked
-// begins to fail, or one that failed works again.
+// How the rows' policies fare: counted, shown, and logged whenever one fails
+// for another reason than before.
 package keeper
 
 import (
@@ -16,6 +16,14 @@
 }
 
 func (m *Machine) fare(list plan.Policies) {
+	for row := range m.fared {
+		if m.book.Table.Cell(row, "policy") == "" {
+			delete(m.fared, row)
+		}
+	}
+	if len(list) == 0 {
+		return
+	}
 	for _, row := range m.book.Table.Names() {
 		one, ok := list[row]
 		if !ok {
@@ -37,7 +45,6 @@
 	list = []PolicyDoc{}
 	for _, row := range m.book.Table.Names() {
 		if m.book.Table.Cell(row, "policy") == "" {
-			delete(m.fared, row)
 			continue
 		}
 		one := m.fared[row]
--- a/keeper/polls.go
+++ b/keeper/polls.go
@@ -59,13 +59,17 @@
 		c.running[g] = true
 		if was[g] {
 			c.told[g] = true
-		} else if one := m.book.Grants[g]; one != nil {
-			for _, p := range m.book.Partners(one) {
-				l.hot[p.Runner] = true
-			}
 		}
-		if m.book.Grants[g] != nil {
-			l.sure[g] = true
+		one := m.book.Grants[g]
+		if one == nil {
+			continue
+		}
+		l.sure[g] = true
+		if was[g] {
+			continue
+		}
+		for _, p := range m.book.Partners(one) {
+			l.hot[p.Runner] = true
 		}
 	}
 	for _, e := range p.Ended {
--- a/table/change.go
+++ b/table/change.go
@@ -114,6 +114,9 @@
 	}
 	for _, k := range o.Keys() {
 		readCell(o, k, row, k, cells)
+		if source(row, k) && cells[k] == "" {
+			delete(cells, k)
+		}
 	}
 	return cells
 }
@@ -134,9 +137,6 @@
 		o.Faults().Sense(o.Path(key), "%s", why)
 		return
 	}
-	if col.Source && text == "" && !strings.Contains(key, ".") {
-		return
-	}
 	into[name] = text
 }
 
@@ -144,8 +144,7 @@
 func (c *Change) Policies() (yes bool) {
 	for r, cells := range c.Rows {
 		for k := range cells {
-			col, _ := Find(r, k)
-			yes = yes || col.Source
+			yes = yes || source(r, k)
 		}
 	}
 	return yes
--- a/table/column.go
+++ b/table/column.go
@@ -71,6 +71,12 @@
 	return col, false
 }
 
+// source tells whether a cell holds a policy.
+func source(row ids.Row, name string) (yes bool) {
+	col, _ := Find(row, name)
+	return col.Source
+}
+
 // Check puts a cell's text in normal form, or says why it cannot stand.
 func (c Column) Check(text string) (out string, why string) {
 	text = strings.TrimSpace(text)
--- a/table/table.go
+++ b/table/table.go
@@ -123,7 +123,7 @@
 		}
 		for k, v := range cells {
 			row[k] = v
-			if col, _ := Find(r, k); col.Source && v == "" {
+			if v == "" && source(r, k) {
 				delete(row, k)
 			}
 		}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -167,9 +167,9 @@
 	}
 	if j := x.Jobs[e.Task.Job]; j != nil && j.Cancelled > 0 && e.What == "stopped" {
 		x.Span("cancelled lives on", x.w.Time()-j.Cancelled)
-	}
-	if j := x.Jobs[e.Task.Job]; j != nil && j.Cancelled > 0 && e.What == "stopped" && x.w.Quiet() {
-		x.Span("cancel to gone", x.w.Time()-j.Cancelled)
+		if x.w.Quiet() {
+			x.Span("cancel to gone", x.w.Time()-j.Cancelled)
+		}
 	}
 }
 
@@ -204,22 +204,13 @@
 		x.Breach("P5", "%s started after %d acknowledged defects of %d allowed", e.Task, t.defects, st.Defects)
 	}
 	if j.Cancelled > 0 {
-		x.Span("start after cancel", now-j.Cancelled)
+		x.since("P6", "cancel", "its cancel was acknowledged", name, e, j.Cancelled, 3000)
 	}
 	if since, ok := x.leaving[name]; ok {
-		x.Span("start after leaving", now-since)
+		x.since("P1", "leaving", "its leaving was known", name, e, since, 2000)
 	}
 	if since, ok := x.closed[at.Zone]; ok {
-		x.Span("start after closing", now-since)
-	}
-	if j.Cancelled > 0 && now > j.Cancelled+3000 {
-		x.Breach("P6", "%s started %d ms after its cancel was acknowledged", e.Task, now-j.Cancelled)
-	}
-	if since, ok := x.leaving[name]; ok && now > since+2000 {
-		x.Breach("P1", "%s started on %s %d ms after its leaving was known", e.Task, name, now-since)
-	}
-	if since, ok := x.closed[at.Zone]; ok && now > since+5000 {
-		x.Breach("P2", "%s started on %s %d ms after its zone's closing was acknowledged", e.Task, name, now-since)
+		x.since("P2", "closing", "its zone's closing was acknowledged", name, e, since, 5000)
 	}
 	if !covers(at.Labels, st.Labels) {
 		x.Breach("P7", "%s started on %s which lacks a label", e.Task, name)
@@ -231,6 +222,16 @@
 	t.on[name] = spot{e.Grant, now}
 }
 
+// since measures a start against the moment from which, a little later, there
+// must be none.
+func (x *Watch) since(kind, what, why, name string, e runner.Event, at, most int64) {
+	gone := x.w.Time() - at
+	x.Span("start after "+what, gone)
+	if gone > most {
+		x.Breach(kind, "%s started on %s %d ms after %s", e.Task, name, gone, why)
+	}
+}
+
 // covers is the observer's own look at labels: it shares no judgement with
 // what it judges.
 func covers(have, need []ids.Label) (ok bool) {
@@ -383,14 +384,10 @@
 		if j.Over != "" && x.w.Time()-j.Cancelled > 2000 {
 			continue
 		}
-		if j.Cancelled > 0 && x.w.Quiet() && x.w.Time()-j.Cancelled > 1000 && x.w.Time()-j.Cancelled < 1500 {
-			if on := x.running(key, j); on != "" {
-				x.Breach("P6", "%s still runs on %s %d ms after its cancel", key, on, x.w.Time()-j.Cancelled)
-			}
-		}
-		if j.Cancelled > 0 && x.w.Time()-j.Cancelled > GoneMost {
+		age := x.w.Time() - j.Cancelled
+		if j.Cancelled > 0 && (age > GoneMost || x.w.Quiet() && age > 1000 && age < 1500) {
 			if on := x.running(key, j); on != "" {
-				x.Breach("P6", "%s still runs on %s %d ms after its cancel", key, on, x.w.Time()-j.Cancelled)
+				x.Breach("P6", "%s still runs on %s %d ms after its cancel", key, on, age)
 			}
 		}
 		for i, st := range j.Spec.Steps {
