The daemon and the simulator order their disks' chores by one piece of code

Cause: which chore a disk does next - founding, gathered writes, slices of a view - was written twice, in the keeper's desk and in the simulator's keeper, and the two differed: a newer view made the daemon begin anew and leave the one half down, while the simulated one waited. Views quicker than the disk could so have kept one another from it for good, and no simulated run would have shown it. The measure of the ring's fill was also not taken after a view came down. Change: ring.Chores orders, ring.Chore does; both use them. TestChores holds the order and the waiting view.

--- a/cmd/keeper/desk.go
+++ b/cmd/keeper/desk.go
@@ -31,11 +31,7 @@
 	mach  *keeper.Machine
 	store *store
 	in    *crew.Ring[input]
-	start *raft.View
-	todo  raft.Backlog
-	busy  bool
-	draft *raft.View
-	wrote bool
+	todo  ring.Chores
 	stop  fx.Shutdowner
 }
 
@@ -97,7 +93,9 @@
 	beat := time.NewTicker(keeper.Tick.Real())
 	defer beat.Stop()
 	for {
-		d.feed()
+		if x := d.todo.Next(); x != nil {
+			d.store.in.Offer(x)
+		}
 		select {
 		case <-stop:
 			return
@@ -107,60 +105,32 @@
 			d.mach.Tick(d.clock.Now(), d.clock.Wall())
 			d.gauge()
 		case r := <-d.store.out.Out():
-			d.busy = false
+			d.todo.Done(r.chore)
 			if r.err != nil {
 				d.log.Fault("disk-failed", "error", r.err, "action", "stepping aside")
 				d.stop.Shutdown(fx.ExitCode(1))
 				return
 			}
-			if r.draft != nil {
-				if r.over && d.draft == r.draft {
-					d.draft = nil
-				}
-				continue
-			}
-			if r.start != nil {
-				d.mach.Started(r.start, d.clock.Now(), d.clock.Wall())
-			} else {
-				d.mach.Synced(r.seq, d.clock.Now(), d.clock.Wall())
+			switch x := r.chore; {
+			case x.Start != nil:
+				d.mach.Started(x.Start, d.clock.Now(), d.clock.Wall())
+			case x.Write != nil:
+				d.mach.Synced(x.Write.Seq, d.clock.Now(), d.clock.Wall())
 			}
 		}
 		d.out(d.mach.Take())
 	}
 }
 
-// feed gives the disk its next chore, one at a time, so that all that gathers
-// meanwhile is done as one. A slice of a view goes after every write.
-func (d *desk) feed() {
-	switch {
-	case d.busy:
-	case d.start != nil:
-		d.busy = d.store.in.Offer(chore{start: d.start})
-		d.start = nil
-	case d.draft != nil && (d.wrote || d.todo.Len() == 0):
-		d.busy, d.wrote = d.store.in.Offer(chore{draft: d.draft}), false
-	case d.todo.Len() > 0:
-		d.busy, d.wrote = d.store.in.Offer(chore{write: d.todo.Next()}), true
-	}
-}
-
 func (d *desk) out(o keeper.Out) {
 	for _, e := range o.Events {
 		d.log.Event(e.Name, e.Vals...)
 	}
-	if o.Start != nil {
-		d.start = o.Start
-	}
+	d.todo.Add(o.Start, o.Writes, o.Draft)
 	if o.Quit != "" {
 		d.log.Fault("step-aside", "why", o.Quit)
 		d.stop.Shutdown(fx.ExitCode(1))
 	}
-	if o.Draft != nil {
-		d.draft = o.Draft
-	}
-	for _, w := range o.Writes {
-		d.todo.Add(w)
-	}
 	for _, s := range o.Sends {
 		d.link.Send(s.To, s.Msg)
 	}
--- a/cmd/keeper/store.go
+++ b/cmd/keeper/store.go
@@ -8,23 +8,12 @@
 	"github.com/go-faster/errors"
 
 	"orchidward/crew"
-	"orchidward/raft"
 	"orchidward/ring"
 )
 
-// chore is one thing for the disk to do.
-type chore struct {
-	start *raft.View
-	write *raft.Write
-	draft *raft.View
-}
-
 // done is word of a chore.
 type done struct {
-	seq   uint64
-	start *raft.View
-	draft *raft.View
-	over  bool
+	chore *ring.Chore
 	err   error
 }
 
@@ -32,15 +21,13 @@
 	disk  *ring.Folder
 	shape ring.Shape
 	ring  *ring.Ring
-	part  *ring.Draft
-	of    *raft.View
-	in    *crew.Ring[chore]
+	in    *crew.Ring[*ring.Chore]
 	out   *crew.Ring[done]
 	fill  atomic.Int64
 }
 
 func newStore(disk *ring.Folder, shape ring.Shape) (s *store) {
-	return &store{disk: disk, shape: shape, in: crew.NewRing[chore](1), out: crew.NewRing[done](1)}
+	return &store{disk: disk, shape: shape, in: crew.NewRing[*ring.Chore](1), out: crew.NewRing[done](1)}
 }
 
 func (s *store) full() (percent int) { return int(s.fill.Load()) }
@@ -64,22 +51,10 @@
 	}
 }
 
-func (s *store) do(c chore) (d done) {
-	if c.start != nil {
-		d.start = c.start
-		s.ring, d.err = ring.Start(s.disk, s.shape, c.start)
-		return d
-	}
-	if c.draft != nil {
-		if s.of != c.draft {
-			s.part, s.of = ring.NewDraft(c.draft), c.draft
-		}
-		d.draft = c.draft
-		d.over, d.err = s.ring.Slice(s.part)
-		return d
+func (s *store) do(x *ring.Chore) (d done) {
+	d.chore = x
+	if s.ring, d.err = x.Do(s.disk, s.shape, s.ring); d.err == nil {
+		s.fill.Store(int64(s.ring.Full()))
 	}
-	d.seq = c.write.Seq
-	d.err = s.ring.Save(c.write)
-	s.fill.Store(int64(s.ring.Full()))
 	return d
 }
--- /dev/null
+++ b/ring/chores.go
@@ -0,0 +1,80 @@
+// Chores is what a disk has yet to do, one thing under way at a time: the
+// founding of the ring, then writes, all that gathered meanwhile as one, and
+// after each of them a slice of a view. A newer view waits until the one that
+// is half down is done. The daemon and the simulator order their disks by it.
+package ring
+
+import "orchidward/raft"
+
+// Chore is one thing for the disk: exactly one of the pointers is set.
+type Chore struct {
+	Start *raft.View
+	Write *raft.Write
+	Draft *Draft
+	over  bool
+}
+
+type Chores struct {
+	start *raft.View
+	todo  raft.Backlog
+	draft *Draft
+	next  *raft.View
+	wrote bool
+	busy  bool
+}
+
+// Add takes what one step of a keeper asks for.
+func (c *Chores) Add(start *raft.View, writes []*raft.Write, draft *raft.View) {
+	if start != nil {
+		c.start = start
+	}
+	for _, w := range writes {
+		c.todo.Add(w)
+	}
+	if draft != nil {
+		c.next = draft
+	}
+}
+
+func (c *Chores) Bytes() (n int) { return c.todo.Bytes() }
+
+// Next is what to do now, or nil while something is under way or nothing waits.
+func (c *Chores) Next() (x *Chore) {
+	if c.draft == nil && c.next != nil {
+		c.draft, c.next = NewDraft(c.next), nil
+	}
+	switch {
+	case c.busy:
+		return nil
+	case c.start != nil:
+		x, c.start = &Chore{Start: c.start}, nil
+	case c.draft != nil && (c.wrote || c.todo.Len() == 0):
+		x = &Chore{Draft: c.draft}
+	case c.todo.Len() > 0:
+		x = &Chore{Write: c.todo.Next()}
+	default:
+		return nil
+	}
+	c.busy, c.wrote = true, x.Draft == nil
+	return x
+}
+
+// Done hears that the chore under way is over with.
+func (c *Chores) Done(x *Chore) {
+	c.busy = false
+	if x.over {
+		c.draft = nil
+	}
+}
+
+// Do carries a chore out. A founding makes the ring, which is returned.
+func (x *Chore) Do(d Disk, shape Shape, r *Ring) (out *Ring, err error) {
+	switch {
+	case x.Start != nil:
+		return Start(d, shape, x.Start)
+	case x.Write != nil:
+		return r, r.Save(x.Write)
+	}
+	x.over, err = r.Slice(x.Draft)
+	return r, err
+}
--- a/ring/ring_test.go
+++ b/ring/ring_test.go
@@ -227,3 +227,42 @@
 		t.Errorf("a draft overtaken took the place of view 30: %d", f.View.Index)
 	}
 }
+
+// TestChores: one thing at a time, what gathers goes as one, and slices of a
+// view take turns with writes; a newer view waits for the one half down, so
+// that many views never keep each other from the disk.
+func TestChores(t *testing.T) {
+	m, r := start(t)
+	var c Chores
+	view := func(i ids.Index) (v *raft.View) {
+		return &raft.View{Index: i, Term: 1, Members: []raft.Member{{ID: 5, Voter: true}}, Data: bytes.Repeat([]byte("v"), 2*sliceBytes)}
+	}
+	write := func(i int) (w []*raft.Write) {
+		return []*raft.Write{{Seq: uint64(i), Entries: []raft.Entry{entry(i, 1)}}}
+	}
+	c.Add(nil, write(2), nil)
+	c.Add(nil, write(3), view(2))
+	order := ""
+	for i := 4; i < 14; i++ {
+		x := c.Next()
+		if x == nil || c.Next() != nil {
+			t.Fatal("not one thing at a time")
+		}
+		c.Add(nil, write(i), view(ids.Index(i-1)))
+		if _, err := x.Do(m, shape, r); err != nil {
+			t.Fatal(err)
+		}
+		c.Done(x)
+		if x.Draft != nil {
+			order += fmt.Sprint("v", x.Draft.view.Index, " ")
+		} else {
+			order += fmt.Sprint("w", x.Write.Seq, " ")
+		}
+	}
+	if order != "w3 v2 w5 v2 w7 v2 w9 v8 w11 v8 " {
+		t.Errorf("done in the order %s", order)
+	}
+	if c.Bytes() == 0 {
+		t.Error("the last writes are counted nowhere")
+	}
+}
--- a/sim/keep.go
+++ b/sim/keep.go
@@ -18,13 +18,8 @@
 	disk  *disk
 	ring  *ring.Ring
 	shape ring.Shape
-	start *raft.View
-	write *raft.Write
-	draft *ring.Draft
-	next  *raft.View
-	wrote bool
-	todo  raft.Backlog
-	busy  bool
+	todo  ring.Chores
+	now   *ring.Chore
 	slow  int64
 	stall int64
 	seeds []string
@@ -43,8 +38,7 @@
 func (k *keep) begin() {
 	w := k.w
 	k.life++
-	k.up, k.begun, k.todo, k.busy, k.ring = true, w.Now, raft.Backlog{}, false, nil
-	k.start, k.write, k.draft, k.next = nil, nil, nil, nil
+	k.up, k.begun, k.todo, k.now, k.ring = true, w.Now, ring.Chores{}, nil, nil
 	id, shape, err := ring.Identity(k.disk, ids.Node(w.rnd.Uint64()|1), k.shape)
 	if err != nil {
 		panic(err)
@@ -94,15 +88,7 @@
 	for _, e := range o.Events {
 		k.w.note("%s %s %v", k.name, e.Name, e.Vals)
 	}
-	if o.Start != nil {
-		k.start = o.Start
-	}
-	for _, x := range o.Writes {
-		k.todo.Add(x)
-	}
-	if o.Draft != nil {
-		k.next = o.Draft
-	}
+	k.todo.Add(o.Start, o.Writes, o.Draft)
 	if o.Quit != "" {
 		k.aside = o.Quit
 		k.crash()
@@ -115,42 +101,26 @@
 // work gives the disk its next chore; it goes on even in a frozen process,
 // which only hears of it on waking.
 func (k *keep) work() {
-	if k.draft == nil && k.next != nil {
-		k.draft, k.next = ring.NewDraft(k.next), nil
-	}
-	slice := k.draft != nil && (k.wrote || k.todo.Len() == 0)
-	if k.busy || k.start == nil && k.todo.Len() == 0 && !slice {
+	x := k.todo.Next()
+	if x == nil {
 		return
 	}
-	k.busy, k.wrote = true, !slice
-	if k.start == nil && !slice {
-		k.write = k.todo.Next()
-	}
+	k.now = x
 	life := k.life
 	k.w.after(max(1+k.w.rnd.Int63n(3)+k.slow, k.stall-k.w.Now), func() {
 		if k.life != life || !k.up {
 			return
 		}
-		start, write := k.start, k.write
-		k.busy, k.start, k.write = false, nil, nil
-		k.do(start, write)
+		k.now = nil
+		k.do(x)
 		k.work()
 	})
 }
 
-func (k *keep) do(start *raft.View, write *raft.Write) {
-	var err error
-	switch {
-	case start != nil:
-		k.ring, err = ring.Start(k.disk, k.shape, start)
-	case write != nil:
-		err = k.ring.Save(write)
-	default:
-		over := false
-		if over, err = k.ring.Slice(k.draft); over {
-			k.draft = nil
-		}
-	}
+func (k *keep) do(x *ring.Chore) {
+	made, err := x.Do(k.disk, k.shape, k.ring)
+	k.ring = made
+	k.todo.Done(x)
 	if errors.Is(err, errFull) {
 		k.aside = err.Error()
 		k.crash()
@@ -160,14 +130,14 @@
 		k.w.Watch.Breach("disk", "%s: %v", k.name, err)
 		return
 	}
-	if start == nil && write == nil {
+	if x.Draft != nil {
 		return
 	}
 	k.w.post(k.node, 0, func() {
-		if start != nil {
-			k.mach.Started(start, k.w.mono(k.node), k.w.wall(k.node))
+		if x.Start != nil {
+			k.mach.Started(x.Start, k.w.mono(k.node), k.w.wall(k.node))
 		} else {
-			k.mach.Synced(write.Seq, k.w.mono(k.node), k.w.wall(k.node))
+			k.mach.Synced(x.Write.Seq, k.w.mono(k.node), k.w.wall(k.node))
 		}
 		k.out()
 	})
@@ -179,11 +149,11 @@
 	if !k.up {
 		return
 	}
-	if k.busy && k.w.rnd.Intn(3) > 0 && k.ring != nil && k.write != nil {
+	if k.now != nil && k.w.rnd.Intn(3) > 0 && k.ring != nil && k.now.Write != nil {
 		if k.w.rnd.Intn(2) == 0 {
 			k.disk.tear = k.w.rnd.Intn(200)
 		}
-		_ = k.ring.Save(k.write)
+		_ = k.ring.Save(k.now.Write)
 		k.disk.tear = -1
 	}
 	k.w.die(k.node)
