Runs are named alike towards agents, with their time: no room free too early

Cause: the leader named a run of a job that isn't repeated "q/ID" in starts and stops, while runners tell of it as "q/ID.0". Ruled out by logging every beat: beats out of order, starts lost on the way. Change: book.Named gives the name with its time wherever an agent hears it. TestCancelAtOnce plays a leader, agents and runners in virtual time and found LIMIT before the change.

--- a/book/queue.go
+++ b/book/queue.go
@@ -109,6 +109,14 @@
 	return nil
 }
 
+// Named is the name that agents know a task by: it always tells the time.
+func (b *Book) Named(ref ids.Ref) (out ids.Ref) {
+	if j := b.Jobs[ref.Job]; j != nil && j.Parent == "" {
+		ref.Job = timeKey(j.Key, 0)
+	}
+	return ref
+}
+
 // Resolve finds the grant that a run is held under, or was.
 func (b *Book) Resolve(name ids.Runner, inc ids.Inc, ref ids.Ref, no uint64) (id ids.Grant, at ids.Ref, ok bool) {
 	j := b.Find(ref.Job)
--- a/keeper/agents.go
+++ b/keeper/agents.go
@@ -131,7 +131,7 @@
 	for _, id := range a.Stops {
 		stop, ok := s.runs[id]
 		if g := m.book.Grants[id]; !ok && g != nil {
-			stop = poll.RunStop{Task: g.Ref, Run: g.No}
+			stop = poll.RunStop{Task: m.book.Named(g.Ref), Run: g.No}
 		}
 		a.Halts = append(a.Halts, stop)
 	}
@@ -162,6 +162,7 @@
 func (m *Machine) fill(s *poll.Start) {
 	if j := m.book.Jobs[s.Task.Job]; j != nil {
 		s.Text, s.Saved = j.Spec.Text, j.Task(s.Task).Saved
+		s.Task = m.book.Named(s.Task)
 	}
 }
 
--- /dev/null
+++ b/keeper/agents_test.go
@@ -0,0 +1,333 @@
+package keeper_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"strings"
+	"testing"
+
+	"orchidward/agent"
+	"orchidward/book"
+	"orchidward/ids"
+	"orchidward/job"
+	"orchidward/keeper"
+	"orchidward/poll"
+	"orchidward/raft"
+	"orchidward/wire"
+)
+
+// site is one keeper that leads alone, agents, and a stand-in runner beside
+// each, in virtual time: what the leader and the agents owe their runners.
+type site struct {
+	t      *testing.T
+	now    ids.Mono
+	keep   *keeper.Machine
+	posts  []post
+	hands  []*hand
+	ask    uint64
+	got    map[uint64]*wire.Reply
+	rnd    *rand.Rand
+	done   map[string]bool
+	starts map[string]int
+}
+
+// post is a message under way.
+type post struct {
+	at   ids.Mono
+	to   string
+	from string
+	msg  wire.Msg
+}
+
+// hand is an agent and its runner.
+type hand struct {
+	name  string
+	mach  *agent.Machine
+	inc   int
+	seq   uint64
+	room  job.Demand
+	next  ids.Mono
+	runs  []*running
+	ends  []poll.RunEnd
+	n     uint64
+	drain bool
+	// dead is a runner that has crashed; mute one that loses what it is answered.
+	dead, mute bool
+	until      ids.Mono
+	saves      bool
+}
+
+type running struct {
+	poll.Start
+	at, end ids.Mono
+	stop    ids.Mono
+	bad     bool
+}
+
+func newSite(t *testing.T, seed int64, hands int) (s *site) {
+	s = &site{t: t, rnd: rand.New(rand.NewSource(seed)), got: map[uint64]*wire.Reply{}, done: map[string]bool{}, starts: map[string]int{}}
+	s.keep = keeper.New(keeper.Boot{ID: 1, Addr: "k", Domain: "a", Timing: raft.Usual(), Level: book.Present, Found: true}, 0)
+	v := &raft.View{Index: 1, Term: 1, Members: []raft.Member{{ID: 1, Addr: "k", Domain: "a", Voter: true}}, Data: book.New().Encode()}
+	if err := s.keep.Resume(raft.Hard{}, v, nil); err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i < hands; i++ {
+		h := &hand{name: fmt.Sprintf("m%d", i), room: job.Demand{Milli: 4000, Mem: 4000}}
+		h.mach = s.agent(h)
+		s.hands = append(s.hands, h)
+	}
+	s.run(4000)
+	s.must("PUT", "/v1/catalog", `{"base":0,"version":2,"queues":[{"name":"r","host":"h","prefix":"/p/","pool":"x","rank":0,"tries":2,"stretch":2000,"setPointMs":1000,"cutoffMs":3000}],"pools":[{"name":"x"}]}`)
+	s.run(1000)
+	return s
+}
+
+func (s *site) agent(h *hand) (m *agent.Machine) {
+	return agent.New(agent.Boot{Name: ids.Runner(h.name), Addr: h.name, Domain: "a", Seeds: []string{"k"}, Seed: int64(s.now) * 1000, HoldMost: 6000, Pace: 100}, s.now)
+}
+
+// request asks the keeper and waits for its answer.
+func (s *site) request(verb, path, body string) (r *wire.Reply) {
+	s.ask++
+	id := s.ask
+	s.posts = append(s.posts, post{s.now, "k", "op", wire.Msg{Ask: &wire.Ask{ID: id, Verb: verb, Path: path, Body: []byte(body), Budget: 2000}}})
+	for end := s.now.Add(3000); s.now < end; {
+		if r = s.got[id]; r != nil {
+			return r
+		}
+		s.run(1)
+	}
+	s.t.Fatalf("%s %s: no answer", verb, path)
+	return nil
+}
+
+func (s *site) must(verb, path, body string) (r *wire.Reply) {
+	if r = s.request(verb, path, body); r.Status >= 300 {
+		s.t.Fatalf("%s %s: %d %s", verb, path, r.Status, r.Body)
+	}
+	return r
+}
+
+func (s *site) state(id string) (word string) {
+	var d struct{ State string }
+	r := s.request("GET", "/v1/states/q/"+id, "")
+	if json.Unmarshal(r.Body, &d) != nil || r.Status != 200 {
+		return fmt.Sprint(r.Status)
+	}
+	return d.State
+}
+
+// run lets time pass.
+func (s *site) run(ms ids.Mono) {
+	for end := s.now + ms; s.now < end; s.now++ {
+		later := []post{}
+		for len(s.posts) > 0 {
+			list := s.posts
+			s.posts = nil
+			for _, p := range list {
+				if p.at > s.now {
+					later = append(later, p)
+					continue
+				}
+				s.deliver(p)
+			}
+		}
+		s.posts = later
+		if s.now%20 == 0 {
+			s.keep.Tick(s.now, ids.Wall(1_800_000_000_000+int64(s.now)))
+			s.out()
+			for _, h := range s.hands {
+				h.mach.Tick(s.now)
+				s.sends(h)
+			}
+		}
+		for _, h := range s.hands {
+			s.live(h)
+		}
+	}
+}
+
+func (s *site) deliver(p post) {
+	switch {
+	case p.to == "k":
+		s.keep.Frame(wire.Peer(p.from), p.msg, s.now, ids.Wall(1_800_000_000_000+int64(s.now)))
+		s.out()
+	case p.to == "op":
+		if p.msg.Reply != nil {
+			s.got[p.msg.Reply.ID] = p.msg.Reply
+		}
+	default:
+		for _, h := range s.hands {
+			if h.name == p.to {
+				h.mach.Frame("k", p.msg, s.now)
+				s.sends(h)
+			}
+		}
+	}
+}
+
+func (s *site) out() {
+	for more := true; more; {
+		o := s.keep.Take()
+		more = false
+		for _, x := range o.Sends {
+			s.posts = append(s.posts, post{s.now + 1 + ids.Mono(s.rnd.Intn(3)), string(x.To), "k", x.Msg})
+		}
+		for _, w := range o.Writes {
+			s.keep.Synced(w.Seq, s.now, ids.Wall(1_800_000_000_000+int64(s.now)))
+			more = true
+		}
+	}
+}
+
+func (s *site) sends(h *hand) {
+	for _, x := range h.mach.Take().Sends {
+		s.posts = append(s.posts, post{s.now + 1 + ids.Mono(s.rnd.Intn(3)), string(x.To), h.name, x.Msg})
+	}
+}
+
+// timed is a task's name as runners know it, which always tells the time.
+func timed(r ids.Ref) (out ids.Ref) {
+	if !strings.Contains(string(r.Job), ".") {
+		r.Job += ".0"
+	}
+	return r
+}
+
+// live is a moment in a runner's life.
+func (s *site) live(h *hand) {
+	if h.dead {
+		return
+	}
+	kept := h.runs[:0]
+	ended := false
+	for _, r := range h.runs {
+		how := ""
+		switch {
+		case s.now > h.until:
+			how = poll.Lapsed
+		case r.stop > 0 && s.now >= r.stop:
+			how = poll.Stopped
+		case s.now >= r.end && r.bad:
+			how = poll.Defect
+		case s.now >= r.end:
+			how = poll.Well
+		}
+		if how == "" {
+			kept = append(kept, r)
+			continue
+		}
+		ended = true
+		h.n++
+		e := poll.RunEnd{N: h.n, Task: r.Task, Run: r.No, How: how}
+		if h.saves && how != poll.Well {
+			e.Saved = fmt.Sprintf("%d", s.now-r.at)
+		}
+		h.ends = append(h.ends, e)
+	}
+	h.runs = kept
+	if ended {
+		h.next = min(h.next, s.now+50)
+	}
+	if s.now < h.next {
+		return
+	}
+	s.beat(h)
+}
+
+func (s *site) beat(h *hand) {
+	h.seq++
+	b := agent.Beat{Runner: ids.Inc(fmt.Sprintf("%s-%d", h.name, h.inc)), Seq: h.seq, Pool: "x", Domain: "a", Rack: "r1", Cap: h.room, Draining: h.drain, Departs: 60000}
+	for _, r := range h.runs {
+		b.Active = append(b.Active, poll.RunState{Task: r.Task, Run: r.No, Percent: 1})
+	}
+	b.Finished = append(b.Finished, h.ends...)
+	o := h.mach.Beat(b, s.now)
+	s.sends(h)
+	h.next = s.now + ids.Mono(o.Retry)
+	if h.mute {
+		return
+	}
+	if o.Hold > 0 {
+		h.until = max(h.until, s.now.Add(o.Hold))
+	}
+	left := h.ends[:0]
+	for _, e := range h.ends {
+		if e.N > o.Observed {
+			left = append(left, e)
+			continue
+		}
+		s.done[fmt.Sprint(e.Task)] = s.done[fmt.Sprint(e.Task)] || e.How == poll.Well
+	}
+	h.ends = left
+	for _, x := range o.Stop {
+		x.Task = timed(x.Task)
+		for _, r := range h.runs {
+			if r.Task == x.Task && r.No == x.Run && r.stop == 0 {
+				r.stop = s.now + 150
+			}
+		}
+	}
+	for _, x := range o.Start {
+		x.Task = timed(x.Task)
+		s.start(h, x)
+	}
+}
+
+// start judges an order as the users would.
+func (s *site) start(h *hand, x poll.Start) {
+	used := x.Demand
+	for _, r := range h.runs {
+		used = used.Plus(r.Demand)
+		if r.Task == x.Task && r.No == x.No {
+			return
+		}
+	}
+	name := fmt.Sprint(x.Task)
+	if !used.Fits(h.room) {
+		s.t.Errorf("%d: LIMIT: %s on %s: %+v of %+v", s.now, name, h.name, used, h.room)
+	}
+	if s.done[name] {
+		s.t.Errorf("%d: TWICE: %s began after its end was observed", s.now, name)
+	}
+	for _, other := range s.hands {
+		for _, r := range other.runs {
+			if r.Task == x.Task && !other.dead {
+				s.t.Errorf("%d: TWICE: %s runs on %s and began on %s", s.now, name, other.name, h.name)
+			}
+		}
+	}
+	if h.drain {
+		s.t.Errorf("%d: DRAIN: %s began on %s", s.now, name, h.name)
+	}
+	s.starts[name]++
+	h.runs = append(h.runs, &running{Start: x, at: s.now, end: s.now + ids.Mono(x.Run)})
+}
+
+func (s *site) submit(id string, tasks int, span int) {
+	s.must("PUT", "/v1/jobs/q/"+id, fmt.Sprintf(`{"queue":"r","text":"t-%s","steps":[{"name":"s0","tasks":%d,"milliCores":900,"memMb":100,"spanMs":%d,"saves":true}]}`, id, tasks, span))
+}
+
+// TestCancelAtOnce: work is cancelled while its starts are on their way or were
+// just handed over, under many seeds. Room is free again only once the runner
+// has told the end, or a beat sent after the order does not show the run.
+func TestCancelAtOnce(t *testing.T) {
+	for seed := int64(1); seed <= 20; seed++ {
+		s := newSite(t, seed, 2)
+		for i := 0; i < 30; i++ {
+			id := fmt.Sprintf("%016x", i)
+			s.submit(id, 1+s.rnd.Intn(8), 200+s.rnd.Intn(900))
+			s.run(ids.Mono(s.rnd.Intn(250)))
+			if s.rnd.Intn(2) == 0 {
+				s.must("DELETE", "/v1/jobs/q/"+id, "")
+			}
+		}
+		s.run(12000)
+		for i := 0; i < 30; i++ {
+			if w := s.state(fmt.Sprintf("%016x", i)); w != "well" && w != "cancelled" {
+				t.Errorf("seed %d: job %d is %s", seed, i, w)
+			}
+		}
+	}
+}
