--- a/cmd/keeper/main.go
+++ b/cmd/keeper/main.go
@@ -13,14 +13,15 @@
 )
 
 type flags struct {
-	Boot   string   `help:"Settings file, JSON, keys as the flags." placeholder:"FILE"`
-	Data   string   `help:"Data folder." required:""`
-	Addr   string   `help:"IP:PORT for the other processes." required:""`
-	HTTP   string   `name:"http" help:"IP:PORT for liveness, readiness and metrics." required:""`
-	Domain string   `help:"Zone this machine stands in." required:""`
-	Seeds  []string `help:"Three IP:PORT of keepers, or of any processes once the group is founded." required:""`
-	Files  int64    `help:"Files in the ring (new folders only)." default:"8"`
-	FileKb int64    `help:"Size of a ring file in KiB (new folders only)." default:"8192"`
+	Boot    string   `help:"Settings file, JSON, keys as the flags." placeholder:"FILE"`
+	Data    string   `help:"Data folder." required:""`
+	Addr    string   `help:"IP:PORT for the other processes." required:""`
+	HTTP    string   `name:"http" help:"IP:PORT for liveness, readiness and metrics." required:""`
+	Domain  string   `help:"Zone this machine stands in." required:""`
+	Seeds   []string `help:"Three IP:PORT of keepers, or of any processes once the group is founded." required:""`
+	Files   int64    `help:"Files in the ring (new folders only)." default:"8"`
+	FileKb  int64    `help:"Size of a ring file in KiB (new folders only)." default:"8192"`
+	ElectMs int64    `help:"Least wait for word of a leader before an election, in ms; the same for all keepers." default:"1000"`
 }
 
 func (f *flags) check(c *boot.Check) {
@@ -30,10 +31,11 @@
 	c.Addrs("seeds", f.Seeds, 3)
 	c.Range("files", f.Files, 3, 99)
 	c.Range("file-kb", f.FileKb, 256, 1<<20)
+	c.Range("elect-ms", f.ElectMs, 200, 10000)
 }
 
 func (f *flags) settings() (s coredesk.Settings) {
-	return coredesk.Settings{Data: f.Data, Addr: f.Addr, HTTP: f.HTTP, Domain: ids.Domain(f.Domain), Seeds: f.Seeds, Files: f.Files, FileKb: f.FileKb, Found: true}
+	return coredesk.Settings{Data: f.Data, Addr: f.Addr, HTTP: f.HTTP, Domain: ids.Domain(f.Domain), Seeds: f.Seeds, Files: f.Files, FileKb: f.FileKb, Found: true, Elect: ids.Span(f.ElectMs)}
 }
 
 func main() {
--- a/coredesk/desk.go
+++ b/coredesk/desk.go
@@ -39,6 +39,16 @@
 	Found  bool
 	Cells  map[string]string
 	Memory int64
+	// Elect is the least time a keeper waits for word of a leader before it asks
+	// for an election, in milliseconds; 0 is the usual 1000.
+	Elect ids.Span
+}
+
+func (s Settings) timing() (t raft.Timing) {
+	if s.Elect == 0 {
+		return raft.Usual()
+	}
+	return raft.Paced(s.Elect)
 }
 
 // Desk runs a keeper.Machine.
@@ -89,7 +99,7 @@
 	}
 	d = &Desk{log: log, clock: crew.NewClock(), in: crew.NewRing[input](8192), errands: serve.NewErrands[*keeper.Machine](4096), hall: newHall(), stop: stop}
 	d.store = newStore(disk, shape)
-	d.mach = keeper.New(keeper.Boot{ID: id, Addr: s.Addr, Domain: s.Domain, Seeds: s.Seeds, Seed: int64(random() >> 1), Timing: raft.Usual(), Level: book.Present, Found: s.Found, Cells: s.Cells}, d.clock.Now())
+	d.mach = keeper.New(keeper.Boot{ID: id, Addr: s.Addr, Domain: s.Domain, Seeds: s.Seeds, Seed: int64(random() >> 1), Timing: s.timing(), Level: book.Present, Found: s.Found, Cells: s.Cells}, d.clock.Now())
 	d.mach.Full = d.store.full
 	found, err := d.store.open()
 	if err != nil {
--- a/keeper/ask.go
+++ b/keeper/ask.go
@@ -290,7 +290,7 @@
 		next = append(next, mem)
 	}
 	if !had {
-		if learners >= 2 {
+		if learners >= mostLearners {
 			m.refuse(c.peer, c.ID, 503, "seats-full", "two learners are waiting for a seat", 5000)
 			return
 		}
--- a/keeper/boot.go
+++ b/keeper/boot.go
@@ -52,8 +52,10 @@
 	mostGates  = 256
 	mostTables = 64
 	deadMs     = 10000
-	gateLife   = 5000
-	checkGap   = 2000
+	// mostLearners bounds the members that wait for a seat.
+	mostLearners = 4
+	gateLife     = 5000
+	checkGap     = 2000
 )
 
 // Tick is how often a keeper should be ticked.
--- a/keeper/lead.go
+++ b/keeper/lead.go
@@ -8,7 +8,6 @@
 	"orchidward/ids"
 	"orchidward/plan"
 	"orchidward/poll"
-	"orchidward/raft"
 	"orchidward/wire"
 )
 
@@ -247,41 +246,3 @@
 	c := m.lead.runners[n]
 	return c != nil && c.known && !c.drain && c.inc == m.book.Runners[n].Inc && m.now.Since(c.heard) < 2*m.book.Table.Site("startMs")
 }
-
-// seats hands a dead keeper's seat to a learner that has caught up: first the
-// learner becomes a voter, then the dead one leaves, each by its own entry.
-func (m *Machine) seats() {
-	list := m.raft.Members()
-	voters, dead := 0, ids.Node(0)
-	ready := ids.Node(0)
-	for _, mem := range list {
-		if mem.Voter {
-			voters++
-		}
-	}
-	for _, s := range m.raft.See() {
-		switch {
-		case s.Voter && s.Quiet > deadMs:
-			dead = s.ID
-		case !s.Voter && s.Quiet < 2000 && s.Match+64 >= m.raft.Commit():
-			ready = s.ID
-		}
-	}
-	next := []raft.Member{}
-	switch {
-	case voters > 3 && dead != 0:
-		for _, mem := range list {
-			if mem.ID != dead {
-				next = append(next, mem)
-			}
-		}
-	case ready != 0 && (voters < 3 || dead != 0 && voters == 3):
-		for _, mem := range list {
-			mem.Voter = mem.Voter || mem.ID == ready
-			next = append(next, mem)
-		}
-	default:
-		return
-	}
-	m.raft.Change(next)
-}
--- a/raft/types.go
+++ b/raft/types.go
@@ -118,4 +118,9 @@
 	Lease ids.Span
 }
 
-func Usual() (t Timing) { return Timing{Beat: 200, Elect: 1000, Lease: 800} }
+func Usual() (t Timing) { return Paced(1000) }
+
+// Paced is the timing for a least election wait, in milliseconds.
+func Paced(elect ids.Span) (t Timing) {
+	return Timing{Beat: elect / 5, Elect: elect, Lease: elect * 4 / 5}
+}
--- a/sim/keep.go
+++ b/sim/keep.go
@@ -143,6 +143,13 @@
 	})
 }
 
+// wipe takes the power and the disk; the machine may begin again, empty, at its
+// old address.
+func (k *keep) wipe() {
+	k.crash()
+	k.disk = newDisk()
+}
+
 // crash ends the process; with the power gone, a write under way is lost or
 // torn.
 func (k *keep) crash() {
--- a/sim/swap_test.go
+++ b/sim/swap_test.go
@@ -57,6 +57,46 @@
 	}})
 }
 
+// TestLossesInTurn: machines are lost one after another, each a few seconds
+// after the one before is back, and each time the group must be whole again by
+// then: a disk is lost and back empty at its old address, then the leader is
+// replaced at another address, then a third goes for a while.
+func TestLossesInTurn(t *testing.T) {
+	t.Parallel()
+	for seed := int64(1); seed <= 4; seed++ {
+		play(t, Plan{Seed: 200 + seed, Window: 32000, Settle: 30000, Extra: func(w *World) {
+			w.Site.Rate = 30
+			other := func(i int) (k *keep) { return w.keepers[(i+1)%3] }
+			at := 0
+			w.at(8000, func() {
+				for i, k := range w.keepers {
+					if k != w.leader() {
+						at = i
+					}
+				}
+				w.keepers[at].wipe()
+			})
+			w.at(10800, func() { w.keepers[at].begin() })
+			w.at(14800, func() {
+				for i, k := range w.keepers {
+					if k == w.leader() {
+						w.loseDisk(k)
+						at = i
+						break
+					}
+				}
+			})
+			w.at(21000, func() { w.stopKeeper(other(at)) })
+			w.at(24500, func() {
+				if w.leader() == nil {
+					t.Errorf("seed %d: three losses in turn, and nobody leads", seed)
+				}
+				other(at).begin()
+			})
+		}})
+	}
+}
+
 // BenchmarkFleet is what a second of a calm fleet costs, core, gates and
 // runners together, at growing numbers of runners; polls/s is the count of
 // polls answered in a virtual second.
