Runners are judged by how their work comes along; drained starts are called back

Change: keeper/health.go watches each run's own percentage; what stands still is called back and its runner left alone for 6 s; slow runners come last. What was placed on a leaving or closed runner and did not begin there is called back. A runner is counted lost by its own last beat while its agent speaks, and by its agent's last poll when that is silent too (TestSilentThenCut): 5% and 0.3 s over a grant in place of 10% and 1 s. Agents try the next keeper 150 ms after the core's usual hold.

--- a/agent/machine.go
+++ b/agent/machine.go
@@ -34,6 +34,7 @@
 	contact ids.Mono
 	touched bool
 	grant   ids.Span
+	wait    ids.Span
 	fence   uint64
 	odd     int
 }
@@ -59,7 +60,10 @@
 }
 
 const (
+	// pollWait is how long a poll is waited for before it is known how long the
+	// core holds one; after that it is slack longer than that.
 	pollWait = 1000
+	slack    = 150
 	backMost = 400
 	pastKept = 16
 	leaveLag = 300
@@ -68,7 +72,7 @@
 )
 
 func New(boot Boot, now ids.Mono) (m *Machine) {
-	m = &Machine{boot: boot, now: now, keepers: boot.Seeds, seq: uint64(boot.Seed), past: map[ids.Inc]bool{}}
+	m = &Machine{boot: boot, now: now, keepers: boot.Seeds, seq: uint64(boot.Seed), wait: pollWait, past: map[ids.Inc]bool{}}
 	if n := len(boot.Seeds); n > 0 {
 		m.at = int(uint64(boot.Seed) % uint64(n))
 	}
@@ -226,7 +230,7 @@
 			m.news = true
 		}
 	}
-	if m.open != nil && m.now.Since(m.open.sent) > pollWait {
+	if m.open != nil && m.now.Since(m.open.sent) > m.wait {
 		m.open = nil
 		m.fail()
 	}
@@ -311,6 +315,9 @@
 	if a.GrantMs > 0 {
 		m.grant = a.GrantMs
 	}
+	if a.StartMs > 0 {
+		m.wait = a.StartMs*6/10 + slack
+	}
 	m.fence = max(m.fence, a.Fence)
 	m.seq = max(m.seq, a.Seq)
 	if len(a.Keepers) > 0 {
--- a/book/grant.go
+++ b/book/grant.go
@@ -31,5 +31,7 @@
 	StopLate    = "start not confirmed"
 	StopPush    = "pushed out"
 	StopSilent  = "gang partner silent"
+	StopStill   = "stands still"
+	StopSlow    = "too slow where it runs"
 	StopClosing = "closing "
 )
--- a/book/queue.go
+++ b/book/queue.go
@@ -213,6 +213,9 @@
 		return
 	}
 	b.set(j, g.Ref, Waiting)
+	if g.Stop == StopStill || g.Stop == StopSlow {
+		t.Shun = g.Runner
+	}
 	id, ok := strings.CutPrefix(g.Stop, StopClosing)
 	if c := b.Closings[id]; ok && c != nil && c.Stage.Down() {
 		b.tie(j, t, id)
--- a/keeper/agents.go
+++ b/keeper/agents.go
@@ -19,6 +19,11 @@
 	stray  []poll.RunStop
 	halted map[poll.RunStop]bool
 	told   uint64
+	paces  map[ids.Grant]*pace
+	// rate is how fast work goes here, in thousandths of what its estimates
+	// say; ill is until when nothing is placed here.
+	rate int64
+	ill  ids.Mono
 	// old is the last progress of what ran on the former life of the runner.
 	old []book.Save
 }
@@ -35,7 +40,11 @@
 	if c.agent == nil {
 		return nil
 	}
-	return &agentSide{old: m.saves(c), halted: map[poll.RunStop]bool{}}
+	return newAgentSide(m.saves(c))
+}
+
+func newAgentSide(old []book.Save) (a *agentSide) {
+	return &agentSide{old: old, halted: map[poll.RunStop]bool{}, paces: map[ids.Grant]*pace{}, rate: 1000}
 }
 
 // saves lists the progress last told of what still counts as running.
@@ -61,7 +70,7 @@
 func (m *Machine) agentSays(name ids.Runner, c *contact, p *poll.Ask) {
 	a := c.agent
 	if a == nil {
-		a = &agentSide{halted: map[poll.RunStop]bool{}}
+		a = newAgentSide(nil)
 		c.agent = a
 	}
 	if r := m.book.Runners[name]; r != nil && r.Inc == c.inc {
@@ -77,6 +86,12 @@
 		}
 		p.Running = append(p.Running, id)
 		a.runs[id], a.saved[id] = stop, one.Saved
+		m.progress(a, id, one.Percent)
+	}
+	for id := range a.paces {
+		if _, ok := a.runs[id]; !ok {
+			delete(a.paces, id)
+		}
 	}
 	for _, one := range p.Finished {
 		id, ref, ok := m.book.Resolve(name, p.Inc, one.Task, one.Run)
--- a/keeper/agents_test.go
+++ b/keeper/agents_test.go
@@ -53,9 +53,12 @@
 	n     uint64
 	drain bool
 	// dead is a runner that has crashed; mute one that loses what it is answered.
-	dead, mute bool
-	until      ids.Mono
-	saves      bool
+	// hung holds all its work still; cut keeps its agent from the core; frozen
+	// is until when the runner does nothing.
+	dead, mute, hung, cut bool
+	frozen                ids.Mono
+	until                 ids.Mono
+	saves                 bool
 }
 
 type running struct {
@@ -149,6 +152,11 @@
 }
 
 func (s *site) deliver(p post) {
+	for _, h := range s.hands {
+		if h.cut && (p.to == h.name || p.from == h.name) {
+			return
+		}
+	}
 	switch {
 	case p.to == "k":
 		s.keep.Frame(wire.Peer(p.from), p.msg, s.now, ids.Wall(1_800_000_000_000+int64(s.now)))
@@ -197,7 +205,7 @@
 
 // live is a moment in a runner's life.
 func (s *site) live(h *hand) {
-	if h.dead {
+	if h.dead || s.now < h.frozen {
 		return
 	}
 	kept := h.runs[:0]
@@ -209,6 +217,7 @@
 			how = poll.Lapsed
 		case r.stop > 0 && s.now >= r.stop:
 			how = poll.Stopped
+		case h.hung:
 		case s.now >= r.end && r.bad:
 			how = poll.Defect
 		case s.now >= r.end:
@@ -240,7 +249,11 @@
 	h.seq++
 	b := agent.Beat{Runner: ids.Inc(fmt.Sprintf("%s-%d", h.name, h.inc)), Seq: h.seq, Pool: "x", Domain: "a", Rack: "r1", Cap: h.room, Draining: h.drain, Departs: 60000}
 	for _, r := range h.runs {
-		b.Active = append(b.Active, poll.RunState{Task: r.Task, Run: r.No, Percent: 1})
+		far := int64(s.now-r.at) * 100 / int64(r.Run)
+		if h.hung {
+			far = 0
+		}
+		b.Active = append(b.Active, poll.RunState{Task: r.Task, Run: r.No, Percent: far})
 	}
 	b.Finished = append(b.Finished, h.ends...)
 	o := h.mach.Beat(b, s.now)
@@ -331,3 +344,76 @@
 		}
 	}
 }
+
+// TestStandsStill: on one of two runners all work stands still while its beats
+// go on. It is moved, and nothing new is placed there for a while.
+func TestStandsStill(t *testing.T) {
+	s := newSite(t, 1, 2)
+	s.hands[0].hung = true
+	s.submit("00000000000000a1", 8, 1000)
+	s.run(7500)
+	if w := s.state("00000000000000a1"); w != "well" {
+		t.Errorf("after 7.5 s the job is %s", w)
+	}
+	if n := len(s.hands[0].runs); n > 0 {
+		t.Errorf("%d runs are left where all stands still", n)
+	}
+}
+
+// TestSilentThenCut: a runner that did nothing for a while goes on just as its
+// agent is cut off. It holds its work by beats the core never hears of, and
+// nothing of it may begin elsewhere before that hold is over.
+func TestSilentThenCut(t *testing.T) {
+	for seed := int64(1); seed <= 10; seed++ {
+		s := newSite(t, seed, 2)
+		s.submit("00000000000000b1", 8, 30000)
+		s.run(2000)
+		s.hands[0].frozen = s.now + 5000
+		s.run(4900 + ids.Mono(s.rnd.Intn(100)))
+		s.run(90)
+		s.hands[0].cut = true
+		s.run(14000)
+		s.hands[0].cut = false
+		s.run(3000)
+	}
+}
+
+// TestNewLife: a runner crashes and comes back as another; what it ran begins
+// again at once, and its agent may be started again meanwhile.
+func TestNewLife(t *testing.T) {
+	s := newSite(t, 3, 2)
+	s.submit("00000000000000c1", 6, 3000)
+	s.run(1000)
+	h := s.hands[0]
+	h.dead = true
+	s.run(1500)
+	h.mach = s.agent(h)
+	h.dead, h.runs, h.ends, h.n, h.seq, h.until = false, nil, nil, 0, 0, 0
+	h.inc++
+	s.run(6000)
+	if w := s.state("00000000000000c1"); w != "well" {
+		t.Errorf("5.5 s after the runner's return the job is %s", w)
+	}
+}
+
+// TestDraining: nothing begins on a runner once its agent has answered a beat
+// that said it drains, also when starts were on their way.
+func TestDraining(t *testing.T) {
+	for seed := int64(1); seed <= 10; seed++ {
+		s := newSite(t, seed, 2)
+		for i := 0; i < 6; i++ {
+			s.submit(fmt.Sprintf("%016x", i), 6, 400)
+			s.run(ids.Mono(s.rnd.Intn(200)))
+			if i == 3 {
+				s.hands[0].drain = true
+				s.beat(s.hands[0])
+			}
+		}
+		s.run(9000)
+		for i := 0; i < 6; i++ {
+			if w := s.state(fmt.Sprintf("%016x", i)); w != "well" {
+				t.Errorf("seed %d: job %d is %s", seed, i, w)
+			}
+		}
+	}
+}
--- a/keeper/gang.go
+++ b/keeper/gang.go
@@ -39,7 +39,7 @@
 // not missed a poll: word given on older news would outlive a dead partner.
 func (m *Machine) runs(g *book.Grant) (ok bool) {
 	c := m.lead.runners[g.Runner]
-	if c == nil || !c.known || c.inc != g.Inc || g.Stop != "" || m.now.Since(c.heard) > m.book.Table.Site("startMs")*3/2 {
+	if c == nil || !c.known || c.inc != g.Inc || g.Stop != "" || c.quiet(m.now) > m.book.Table.Site("startMs")*3/2 {
 		return false
 	}
 	_, over := c.ended[g.ID]
@@ -78,7 +78,7 @@
 	span := silence * m.book.Table.Site("startMs")
 	for n, c := range l.runners {
 		r := m.book.Runners[n]
-		if r == nil || r.Gone || r.Open() == 0 || m.now.Since(c.heard) <= span {
+		if r == nil || r.Gone || r.Open() == 0 || c.quiet(m.now) <= span {
 			continue
 		}
 		for _, id := range r.GrantIDs() {
--- a/keeper/lead.go
+++ b/keeper/lead.go
@@ -20,6 +20,8 @@
 	place   ids.Index
 	losing  map[ids.Runner]ids.Index
 	doubt   ids.Index
+	moving  ids.Index
+	looked  ids.Mono
 	raising ids.Index
 	checked ids.Mono
 	hot     map[ids.Runner]bool
@@ -35,6 +37,7 @@
 	inc     ids.Inc
 	seq     uint64
 	heard   ids.Mono
+	silent  ids.Span
 	known   bool
 	drain   bool
 	running map[ids.Grant]bool
@@ -49,6 +52,21 @@
 	agent   *agentSide
 }
 
+// quiet is how long nothing was heard of the runner itself.
+func (c *contact) quiet(now ids.Mono) (s ids.Span) { return now.Since(c.heard) + c.silent }
+
+// lapsed tells whether whatever ran there must have outlived its grant. The
+// margin covers clocks that drift. An agent's runner holds by its own last
+// heartbeat, which the agent tells of while it polls; when the agent is silent
+// too, later heartbeats may have been answered, up to the end of its grant.
+func (c *contact) lapsed(now ids.Mono, grant ids.Span) (yes bool) {
+	if c.agent == nil {
+		return now.Since(c.heard) > grant+grant/10+1000
+	}
+	span := grant + grant/20 + 300
+	return now.Since(c.heard) > span || c.silent > span
+}
+
 // turn is a poll in the line of those that are answered empty in time.
 type turn struct {
 	runner ids.Runner
@@ -110,6 +128,7 @@
 	m.lapses()
 	m.unsure()
 	m.doubts()
+	m.health()
 	m.seats()
 	m.raise()
 	m.check()
@@ -123,14 +142,13 @@
 // grant can have lasted on its own clock.
 func (m *Machine) lapses() {
 	l := m.lead
-	span := m.book.GrantSpan()
-	span += span/10 + 1000
+	grant := m.book.GrantSpan()
 	for _, n := range m.book.RunnerNames() {
 		r, c := m.book.Runners[n], l.runners[n]
-		if c == nil || r.Gone || m.now.Since(c.heard) <= span || l.losing[n] > m.at {
+		if c == nil || r.Gone || !c.lapsed(m.now, grant) || l.losing[n] > m.at {
 			continue
 		}
-		m.event("runner-lost", "runner", n, "quietMs", m.now.Since(c.heard))
+		m.event("runner-lost", "runner", n, "quietMs", c.quiet(m.now))
 		l.losing[n] = m.propose(&book.Cmd{Lost: &book.Lost{Runner: n, Inc: r.Inc, Saves: m.saves(c)}})
 	}
 }
@@ -228,7 +246,7 @@
 		return
 	}
 	l.dirty, l.planned = false, m.now
-	out := plan.Round(m.book, m.fresh, m.shelf)
+	out := plan.RoundWith(m.book, plan.View{Fresh: m.fresh, Pace: m.pace}, m.shelf)
 	m.reason = out.Why
 	m.fare(out.Policies)
 	if len(out.Push) > 0 {
@@ -244,5 +262,5 @@
 // incarnation and is not on its way out.
 func (m *Machine) fresh(n ids.Runner) (ok bool) {
 	c := m.lead.runners[n]
-	return c != nil && c.known && !c.drain && c.inc == m.book.Runners[n].Inc && m.now.Since(c.heard) < 2*m.book.Table.Site("startMs")
+	return c != nil && c.known && !c.drain && c.inc == m.book.Runners[n].Inc && c.quiet(m.now) < 2*m.book.Table.Site("startMs") && !m.ill(c)
 }
--- a/keeper/polls.go
+++ b/keeper/polls.go
@@ -51,7 +51,7 @@
 		return
 	}
 	m.shut(c)
-	c.seq, c.heard, c.known, c.drain = p.Seq, m.now.Add(-p.Silent), true, p.Mode == poll.Draining
+	c.seq, c.heard, c.silent, c.known, c.drain = p.Seq, m.now, p.Silent, true, p.Mode == poll.Draining
 	c.open, c.peer, c.id, c.since = true, peer, id, m.now
 	was := c.told
 	c.running, c.ended, c.told = map[ids.Grant]bool{}, map[ids.Grant]poll.End{}, map[ids.Grant]bool{}
--- a/plan/bin.go
+++ b/plan/bin.go
@@ -17,6 +17,7 @@
 	keep  job.Demand
 	trial bool
 	soft  bool
+	pace  int64
 }
 
 // open is the room left for work that holds no reservation.
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -69,8 +69,24 @@
 	seen int
 }
 
+// View is what a leader knows of runners beyond the book: whether one may be
+// given work now, and how fast work goes there, in thousandths of the usual.
+type View struct {
+	Fresh func(r ids.Runner) bool
+	Pace  func(r ids.Runner) int64
+}
+
 func Round(b *book.Book, fresh func(r ids.Runner) bool, shelf *policy.Shelf) (out Out) {
-	bins, pools := sortOut(take(b, fresh))
+	return RoundWith(b, View{Fresh: fresh, Pace: func(ids.Runner) int64 { return 1000 }}, shelf)
+}
+
+func RoundWith(b *book.Book, v View, shelf *policy.Shelf) (out Out) {
+	bins, pools := sortOut(take(b, v.Fresh))
+	for _, list := range pools {
+		for _, n := range list {
+			n.pace = v.Pace(n.r.Name)
+		}
+	}
 	r := &round{b: b, shelf: shelf, bins: bins, pools: pools, total: b.Total(), use: map[ids.Row]job.Demand{}, dull: map[shape]string{}, done: map[ids.Ref]bool{}}
 	r.out.Why, r.out.Policies = map[ids.Key]map[int]string{}, Policies{}
 	for _, row := range b.Table.Names() {
--- a/plan/queue.go
+++ b/plan/queue.go
@@ -17,6 +17,9 @@
 // something.
 const lateFactor = 3
 
+// slowPace is the pace, in thousandths, under which a runner comes last.
+const slowPace = 400
+
 func sortOut(all []*bin) (bins []*bin, pools map[string][]*bin) {
 	pools = map[string][]*bin{}
 	for _, n := range all {
@@ -160,7 +163,7 @@
 			if st.Apart > 0 && r.b.Beside(l.j, l.step, b.r)+held[b]+r.put(l, b) >= st.Apart {
 				continue
 			}
-			s := b.score(st.Demand, shun)
+			s := b.score(st.Demand, shun) + slowness(b.pace)
 			if st.Near != "" && st.Near != b.r.Rack {
 				s += 5000
 			}
@@ -178,6 +181,14 @@
 	return on
 }
 
+// slowness is what a runner's pace adds to its score.
+func slowness(pace int64) (s int64) {
+	if pace < slowPace {
+		return 20000
+	}
+	return max(0, 1000-pace)
+}
+
 // put counts the tasks of the step that this round has already put on a runner.
 func (r *round) put(l *lump, b *bin) (n int64) {
 	for _, p := range r.out.Puts {
