A run past its estimate does not stand still; agents time what does

Cause: a run's percentage is measured against its estimate and stays at 100 once that is over. Polls 600 ms apart also told late what does stand still. Change: the agent times each run by its beats and tells at once of one that has not moved for 400 ms; past 100 a run has its estimate over again.

--- a/agent/machine.go
+++ b/agent/machine.go
@@ -23,6 +23,7 @@
 	halts  map[run]bool
 	gone   map[run]bool
 	seen   uint64
+	moved  map[run]step
 
 	keepers []string
 	at      int
@@ -64,9 +65,11 @@
 	// core holds one; after that it is slack longer than that.
 	pollWait = 1000
 	slack    = 150
-	backMost = 400
-	pastKept = 16
-	leaveLag = 300
+	// stillTold is how long a run stands still before the core is told.
+	stillTold = 400
+	backMost  = 400
+	pastKept  = 16
+	leaveLag  = 300
 	// lag is how soon a poll that bears news replaces one still open.
 	lag = 10
 )
@@ -82,6 +85,7 @@
 
 func (m *Machine) forget() {
 	m.queue, m.halts, m.gone, m.seen = map[run]*order{}, map[run]bool{}, map[run]bool{}, 0
+	m.moved = map[run]step{}
 }
 
 func (m *Machine) Take() (out Out) {
@@ -110,6 +114,7 @@
 		return o
 	}
 	m.look(&b)
+	m.progress(&b)
 	m.beat, m.beaten, m.left = &b, m.now, 0
 	o.Fence, o.Observed = m.fence, m.seen
 	if hold := m.grant - m.now.Since(m.contact); m.touched && hold > 0 {
@@ -180,6 +185,32 @@
 	}
 }
 
+// step is how far a run had come when it last moved; told says that the core
+// has been told that it no longer does.
+type step struct {
+	percent int64
+	at      ids.Mono
+	told    bool
+}
+
+// progress notes when each run last moved.
+func (m *Machine) progress(b *Beat) {
+	was := m.moved
+	m.moved = make(map[run]step, len(b.Active))
+	for _, a := range b.Active {
+		r := run{a.Task, a.Run}
+		s, ok := was[r]
+		switch {
+		case !ok || s.percent != a.Percent:
+			s = step{percent: a.Percent, at: m.now}
+		case !s.told && m.now.Since(s.at) >= stillTold:
+			s.told = true
+			m.news = true
+		}
+		m.moved[r] = s
+	}
+}
+
 func (m *Machine) differs(b *Beat, there map[run]bool) (yes bool) {
 	was := m.beat
 	if was == nil || was.Draining != b.Draining || was.Cap != b.Cap || was.Pool != b.Pool ||
@@ -267,13 +298,19 @@
 func (m *Machine) ask() (a poll.Ask) {
 	b := m.beat
 	a = poll.Ask{Agent: true, Inc: b.Runner, Seq: m.seq, Cores: b.Cap.Cores, Milli: b.Cap.Milli, Mem: b.Cap.Mem, GPUs: b.Cap.GPUs, Pool: b.Pool,
-		Labels: b.Labels, Domain: b.Domain, Rack: b.Rack, Mode: poll.Active, Silent: m.now.Since(m.beaten), Active: b.Active, Finished: b.Finished}
+		Labels: b.Labels, Domain: b.Domain, Rack: b.Rack, Mode: poll.Active, Silent: m.now.Since(m.beaten), Finished: b.Finished}
 	if b.Draining {
 		a.Mode, a.Departs = poll.Draining, max(0, b.Departs-m.now.Since(m.beaten))
 	}
+	for _, x := range b.Active {
+		if still := m.now.Since(m.moved[run{x.Task, x.Run}].at); still >= stillTold {
+			x.Still = still
+		}
+		a.Active = append(a.Active, x)
+	}
 	a.Left = m.left > 0 && m.now.Since(m.left) > leaveLag
 	for _, x := range m.waiting() {
-		a.Active = append(a.Active[:len(a.Active):len(a.Active)], poll.RunState{Task: x.Task, Run: x.No})
+		a.Active = append(a.Active, poll.RunState{Task: x.Task, Run: x.No})
 	}
 	for r := range m.gone {
 		a.Gone = append(a.Gone, poll.RunStop{Task: r.task, Run: r.no})
--- a/keeper/agents.go
+++ b/keeper/agents.go
@@ -86,7 +86,7 @@
 		}
 		p.Running = append(p.Running, id)
 		a.runs[id], a.saved[id] = stop, one.Saved
-		m.progress(a, id, one.Percent)
+		m.progress(a, id, one)
 	}
 	for id := range a.paces {
 		if _, ok := a.runs[id]; !ok {
--- a/keeper/health.go
+++ b/keeper/health.go
@@ -8,58 +8,83 @@
 import (
 	"orchidward/book"
 	"orchidward/ids"
+	"orchidward/poll"
 )
 
-// pace is how a run has come along.
+// pace is how a run has come along: how far it was when first seen and when it
+// last moved, and how long it had stood still at the last poll.
 type pace struct {
-	percent int64
-	moved   ids.Mono
-	began   ids.Mono
 	from    int64
+	percent int64
 	at      ids.Mono
+	still   ids.Span
 }
 
 const (
-	healthGap  = 100
-	stillLeast = 1500
-	illSpan    = 6000
-	// slowRate is the rate, in thousandths, under which a runner is slow.
-	slowRate = 400
+	healthGap = 100
+	// stillLeast is the least time without a move that is held against a run.
+	stillLeast = 600
+	// restoring is how long a run may take to find its saved progress.
+	restoring = 800
+	illSpan   = 6000
 	// mostMoves bounds the runs called back at once.
 	mostMoves = 16
 )
 
 // progress takes what a run says of itself.
-func (m *Machine) progress(a *agentSide, id ids.Grant, percent int64) {
+func (m *Machine) progress(a *agentSide, id ids.Grant, s poll.RunState) {
 	p, g := a.paces[id], m.book.Grants[id]
 	if g == nil {
 		return
 	}
 	if p == nil {
-		a.paces[id] = &pace{percent: percent, moved: m.now, began: m.now, from: percent, at: m.now}
+		a.paces[id] = &pace{from: s.Percent, percent: s.Percent, at: m.now, still: s.Still}
 		return
 	}
-	if percent != p.percent {
-		if span := m.now.Since(p.at); span >= 200 && p.percent > p.from {
-			rate := min((percent-p.percent)*int64(g.Run)*10/int64(span), 3000)
-			a.rate = (a.rate*7 + rate) / 8
-		}
-		p.percent, p.moved = percent, m.now
-		p.at = m.now
+	p.still = s.Still
+	if s.Percent == p.percent {
+		return
+	}
+	if span := m.now.Since(p.at); span >= 200 && p.percent > p.from && s.Percent < whole {
+		rate := min((s.Percent-p.percent)*int64(g.Run)*10/int64(span), 3000)
+		a.rate = (a.rate*7 + rate) / 8
 	}
+	p.percent, p.at = s.Percent, m.now
 }
 
-// still tells whether a run has not moved for longer than any sound one would.
-func (m *Machine) still(p *pace, g *book.Grant) (yes bool) {
-	span := max(stillLeast, g.Run/6)
-	st := m.book.Jobs[g.Ref.Job].Spec.Steps[g.Ref.Step]
-	if st.Lasting {
+// whole is what a run says once it has taken as long as was estimated; past
+// that it says no more.
+const whole = 100
+
+// still tells whether a run has not moved for longer than any sound one would,
+// a slow one included: a hundredth of a slow run is some hundredths of its span.
+func (m *Machine) still(c *contact, p *pace, g *book.Grant) (yes bool) {
+	j := m.book.Jobs[g.Ref.Job]
+	st := j.Spec.Steps[g.Ref.Step]
+	span := stillLeast + g.Run/8
+	switch {
+	case p.still == 0 || st.Lasting:
 		return false
+	case p.percent >= whole:
+		span = max(2*stillLeast, g.Run)
+	case p.percent == p.from && j.Task(g.Ref).Saved != "":
+		span += restoring
 	}
-	if st.Gang && p.percent == p.from {
-		span += 3000
+	if p.percent == 0 && st.Gang && !m.gathered(g) {
+		return false
+	}
+	return p.still+m.now.Since(c.heard) > span
+}
+
+// gathered tells whether all members of a run's gang are there.
+func (m *Machine) gathered(g *book.Grant) (yes bool) {
+	for _, p := range m.book.Partners(g) {
+		c := m.lead.runners[p.Runner]
+		if c == nil || !c.running[p.ID] {
+			return false
+		}
 	}
-	return m.now.Since(p.moved) > span
+	return true
 }
 
 // health calls back what stands still.
@@ -72,12 +97,12 @@
 	var late []ids.Grant
 	for _, n := range m.book.RunnerNames() {
 		c := l.runners[n]
-		if c == nil || c.agent == nil || c.quiet(m.now) > 1000 {
+		if c == nil || c.agent == nil || c.silent > 400 || m.now.Since(c.heard) > 1000 {
 			continue
 		}
 		for _, id := range m.book.Runners[n].GrantIDs() {
 			p, g := c.agent.paces[id], m.book.Grants[id]
-			if p == nil || g.Stop != "" || len(late) >= mostMoves || !m.still(p, g) {
+			if p == nil || g.Stop != "" || len(late) >= mostMoves || !m.still(c, p, g) {
 				continue
 			}
 			late = append(late, id)
--- a/poll/run.go
+++ b/poll/run.go
@@ -15,6 +15,8 @@
 	Run     uint64  `json:"run"`
 	Saved   string  `json:"saved,omitempty"`
 	Percent int64   `json:"percent,omitempty"`
+	// Still is how long, in milliseconds, the percentage has not moved.
+	Still ids.Span `json:"stillMs,omitempty"`
 }
 
 // RunEnd is a run that ended; N rises from 1 within each life of a runner.
@@ -56,7 +58,7 @@
 	a.Silent = ids.Span(o.Int("silentMs", 0, 0, 1<<40))
 	a.Left = o.Bool("left", false)
 	for _, one := range o.List("active", most) {
-		s := RunState{Task: readTask(one), Run: readRun(one), Saved: readSaved(one), Percent: one.Int("percent", 0, 0, 1<<20)}
+		s := RunState{Task: readTask(one), Run: readRun(one), Saved: readSaved(one), Percent: one.Int("percent", 0, 0, 1<<20), Still: ids.Span(one.Int("stillMs", 0, 0, 1<<40))}
 		one.Done()
 		a.Active = append(a.Active, s)
 	}
