A new leader says so to gates and agents; what can still be in time goes first

Cause: after a leader's death gates kept requests on it for a second and agents their polls for 750 ms, although another led after half a second; most of what was lost was lost in those two or three windows of two seconds. And work already late held up work that was not. Change: agents tell where they listen; a keeper that rises tells them and the gates it has heard of, which turn to it at once, with what they may pass again.

--- a/agent/machine.go
+++ b/agent/machine.go
@@ -297,7 +297,7 @@
 
 func (m *Machine) ask() (a poll.Ask) {
 	b := m.beat
-	a = poll.Ask{Agent: true, Inc: b.Runner, Seq: m.seq, Cores: b.Cap.Cores, Milli: b.Cap.Milli, Mem: b.Cap.Mem, GPUs: b.Cap.GPUs, Pool: b.Pool,
+	a = poll.Ask{Agent: true, Inc: b.Runner, Seq: m.seq, Cores: b.Cap.Cores, Milli: b.Cap.Milli, Mem: b.Cap.Mem, GPUs: b.Cap.GPUs, Pool: b.Pool, Addr: m.boot.Addr,
 		Labels: b.Labels, Domain: b.Domain, Rack: b.Rack, Mode: poll.Active, Silent: m.now.Since(m.beaten), Finished: b.Finished}
 	if b.Draining {
 		a.Mode, a.Departs = poll.Draining, max(0, b.Departs-m.now.Since(m.beaten))
@@ -324,6 +324,10 @@
 // Frame takes what a keeper says.
 func (m *Machine) Frame(from wire.Peer, msg wire.Msg, now ids.Mono) {
 	m.now = max(m.now, now)
+	if t := msg.Tell; t != nil && t.Node != 0 && t.Lead == t.Node {
+		m.follow(t)
+		return
+	}
 	r := msg.Reply
 	if r == nil || m.open == nil || r.ID != m.open.seq {
 		return
@@ -348,6 +352,21 @@
 	m.polls()
 }
 
+// follow hears a new leader say that it leads, and turns to it at once.
+func (m *Machine) follow(t *wire.Tell) {
+	if len(m.keepers) > 0 && m.keepers[m.at%len(m.keepers)] == t.Addr && m.open != nil {
+		return
+	}
+	list := []string{t.Addr}
+	for _, one := range t.Members {
+		if one.Addr != t.Addr {
+			list = append(list, one.Addr)
+		}
+	}
+	m.keepers, m.at, m.back, m.next, m.open = list, 0, 0, m.now, nil
+	m.polls()
+}
+
 func (m *Machine) obey(a *poll.Answer, open *ask) {
 	if a.GrantMs > 0 {
 		m.grant = a.GrantMs
--- a/book/cmd.go
+++ b/book/cmd.go
@@ -74,6 +74,7 @@
 	Drain  bool        `json:"draining,omitempty"`
 	Depart ids.Millis  `json:"departsAt,omitempty"`
 	Pool   string      `json:"pool,omitempty"`
+	Addr   string      `json:"addr,omitempty"`
 	Saves  []Save      `json:"saves,omitempty"`
 }
 
--- a/book/job.go
+++ b/book/job.go
@@ -3,6 +3,8 @@
 package book
 
 import (
+	"slices"
+
 	"orchidward/ids"
 	"orchidward/job"
 )
@@ -71,6 +73,31 @@
 	return j.Met(step)
 }
 
+// Rest is the longest chain through the steps that are not done.
+func (j *Job) Rest() (span ids.Span) {
+	steps := j.Spec.Steps
+	if len(steps) == 1 {
+		return steps[0].Run
+	}
+	at := make([]ids.Span, len(steps))
+	for range steps {
+		for i := range steps {
+			if j.count[i].well == len(j.Steps[i]) {
+				continue
+			}
+			from := ids.Span(0)
+			for k := range steps {
+				if at[k] > from && slices.Contains(steps[i].After, steps[k].Name) {
+					from = at[k]
+				}
+			}
+			at[i] = from + steps[i].Run
+			span = max(span, at[i])
+		}
+	}
+	return span
+}
+
 // Wait lists the numbers of the step's waiting tasks.
 func (j *Job) Wait(step int) (nums []int) {
 	for i, t := range j.Steps[step] {
--- a/book/report.go
+++ b/book/report.go
@@ -24,6 +24,7 @@
 	}
 	one.Cap, one.Labels, one.Domain, one.Rack = p.Cap, p.Labels, p.Domain, p.Rack
 	one.Drain, one.Depart, one.Gone, one.Pool = p.Drain, p.Depart, false, p.Pool
+	one.Addr = p.Addr
 	b.hot[p.Runner] = true
 	b.racks()
 	return Res{Status: 200}
--- a/book/runner.go
+++ b/book/runner.go
@@ -21,6 +21,8 @@
 	Good   int64       `json:"good"`
 	Bad    int64       `json:"bad"`
 	Pool   string      `json:"pool,omitempty"`
+	// Addr is where the agent that speaks for it listens, if one does.
+	Addr string `json:"addr,omitempty"`
 
 	used   job.Demand
 	grants map[ids.Grant]*Grant
--- a/gate/machine.go
+++ b/gate/machine.go
@@ -311,6 +311,10 @@
 			Founded: len(m.members) > 0, Lead: m.lead, Members: m.members, Gates: m.gates}})
 		return
 	}
+	if t.Role == "keeper" && t.Node != 0 && t.Lead == t.Node && len(t.Members) > 0 {
+		m.follow(t)
+		return
+	}
 	if t.Founded && len(t.Members) > 0 && !m.Ready(m.now) {
 		m.members, m.gates = t.Members, t.Gates
 		if t.Lead != 0 {
@@ -319,6 +323,27 @@
 	}
 }
 
+// follow hears a new leader say that it leads: what waits on another is passed
+// to it at once, if it may be.
+func (m *Machine) follow(t *wire.Tell) {
+	m.members, m.lead, m.via = t.Members, t.Lead, wire.Peer(t.Addr)
+	delete(m.bad, m.via)
+	if m.sync != nil && m.sync.to != m.via {
+		m.sync = nil
+	}
+	m.synced = m.now.Add(-syncGap)
+	m.keepTouch()
+	if !m.Ready(m.now) {
+		return
+	}
+	for _, id := range m.order() {
+		c := m.calls[id]
+		if c.to != m.via && (c.ask == 0 || c.again) {
+			m.pass(c)
+		}
+	}
+}
+
 func (m *Machine) refresh(r *wire.Reply) {
 	sent, to := m.sync.at, m.sync.to
 	m.sync = nil
--- a/keeper/ask.go
+++ b/keeper/ask.go
@@ -59,6 +59,11 @@
 			delete(m.gates, g)
 		}
 	}
+	for g, at := range m.edge {
+		if m.now.Since(at) > gateLife {
+			delete(m.edge, g)
+		}
+	}
 	for id, v := range m.relays {
 		if m.now > v.at {
 			delete(m.relays, id)
--- a/keeper/find.go
+++ b/keeper/find.go
@@ -102,6 +102,9 @@
 func (m *Machine) tell(from wire.Peer, t *wire.Tell) {
 	if t.Role == "gate" {
 		m.gateSeen(t.HTTP)
+		if _, known := m.edge[t.Addr]; known || len(m.edge) < mostGates {
+			m.edge[t.Addr] = m.now
+		}
 	}
 	if t.Ask {
 		m.send(from, wire.Msg{Tell: m.self(false)})
@@ -188,6 +191,27 @@
 	}
 }
 
+// herald tells gates and agents that this keeper leads, so that none of them
+// waits on the one before it.
+func (m *Machine) herald() {
+	t := m.self(false)
+	list := []string{}
+	for addr, at := range m.edge {
+		if m.now.Since(at) < gateLife {
+			list = append(list, addr)
+		}
+	}
+	for _, n := range m.book.RunnerNames() {
+		if r := m.book.Runners[n]; r.Addr != "" && !r.Gone {
+			list = append(list, r.Addr)
+		}
+	}
+	sort.Strings(list)
+	for _, addr := range list {
+		m.send(wire.Peer(addr), wire.Msg{Tell: t})
+	}
+}
+
 // gateSeen notes that a gate lives; past the bound no more are taken in.
 func (m *Machine) gateSeen(http string) {
 	if _, known := m.gates[http]; known || http != "" && len(m.gates) < mostGates {
--- a/keeper/machine.go
+++ b/keeper/machine.go
@@ -40,7 +40,9 @@
 	founders []raft.Member
 	find     *find
 	gates    map[string]ids.Mono
-	alone    ids.Mono
+	// edge is where gates listen, and when each was last heard.
+	edge  map[string]ids.Mono
+	alone ids.Mono
 
 	waits  map[ids.Index]wait
 	tables int
@@ -79,7 +81,7 @@
 }
 
 func New(boot Boot, now ids.Mono) (m *Machine) {
-	return &Machine{boot: boot, now: now, nextID: uint64(boot.Seed), gates: map[string]ids.Mono{}, waits: map[ids.Index]wait{}, relays: map[uint64]relay{},
+	return &Machine{boot: boot, now: now, nextID: uint64(boot.Seed), gates: map[string]ids.Mono{}, edge: map[string]ids.Mono{}, waits: map[ids.Index]wait{}, relays: map[uint64]relay{},
 		find: newFind(), alone: now, reason: map[ids.Key]map[int]string{}, book: book.New(), shelf: policy.NewShelf(), fared: plan.Policies{}, Full: func() int { return 0 }}
 }
 
@@ -339,6 +341,7 @@
 	if leads && m.lead == nil && m.at >= m.raft.First() && m.raft.Leased(m.now) {
 		m.term = m.raft.Term()
 		m.rise()
+		m.herald()
 		m.event("leader", "term", m.term, "index", m.at)
 	}
 }
--- a/keeper/polls.go
+++ b/keeper/polls.go
@@ -113,7 +113,7 @@
 	if c.facts > m.at {
 		return
 	}
-	rep := &book.Report{Runner: name, Inc: p.Inc, Cap: job.Demand{Cores: p.Cores, Mem: p.Mem, Milli: p.Milli, GPUs: p.GPUs}, Labels: p.Labels, Pool: p.Pool,
+	rep := &book.Report{Runner: name, Inc: p.Inc, Cap: job.Demand{Cores: p.Cores, Mem: p.Mem, Milli: p.Milli, GPUs: p.GPUs}, Labels: p.Labels, Pool: p.Pool, Addr: p.Addr,
 		Domain: p.Domain, Rack: p.Rack, Drain: p.Mode == poll.Draining}
 	if rep.Drain {
 		rep.Depart = m.lead.clock.site(m.now).Add(p.Departs)
@@ -122,7 +122,7 @@
 	if r != nil && r.Drain && rep.Drain && p.Departs == 0 {
 		rep.Depart = r.Depart
 	}
-	if r != nil && r.Inc == p.Inc && !r.Gone && r.Cap == rep.Cap && r.Pool == p.Pool && same(r.Labels, p.Labels) &&
+	if r != nil && r.Inc == p.Inc && !r.Gone && r.Cap == rep.Cap && r.Pool == p.Pool && r.Addr == p.Addr && same(r.Labels, p.Labels) &&
 		r.Domain == p.Domain && r.Rack == p.Rack && r.Drain == rep.Drain {
 		if gap := rep.Depart - r.Depart; gap < 1000 && gap > -1000 {
 			return
--- a/plan/queue.go
+++ b/plan/queue.go
@@ -1,5 +1,6 @@
-// Work for the queues of the catalogue. It bids by rank, and within one by when
-// it is due; what is too late to earn anything bids after all that is not. Gangs
+// Work for the queues of the catalogue. What can still be done in time bids
+// first, then what is late, then what is too late to earn anything; in each of
+// them by rank, and within a rank by when it is due. Gangs
 // go whole, in one rack where they want that and one has room. The first that
 // only lacks room has it kept.
 package plan
@@ -35,10 +36,10 @@
 // queues places the work of all queues, the hopeless last.
 func (r *round) queues() {
 	kept := map[string]bool{}
-	for _, late := range []bool{false, true} {
+	for want := inTime; want <= hopeless; want++ {
 		miss, seen := 0, 0
 		r.b.QueueJobs(func(j *book.Job) (more bool) {
-			if hopeless(j, r.b.Now) != late {
+			if hope(j, r.b.Now) != want {
 				return true
 			}
 			if put, fresh := r.queued(j, kept); !put && fresh {
@@ -50,8 +51,23 @@
 	}
 }
 
-func hopeless(j *book.Job, now ids.Millis) (yes bool) {
-	return now > j.Terms.Due.Add((lateFactor-1)*j.Terms.Aim)
+// What is left of a job's worth: all of it, some, none.
+const (
+	inTime = iota
+	late
+	hopeless
+)
+
+// hope tells what a job may yet earn if its work goes on now.
+func hope(j *book.Job, now ids.Millis) (h int) {
+	end := now.Add(j.Rest())
+	switch {
+	case end <= j.Terms.Due:
+		return inTime
+	case end <= j.Terms.Due.Add((lateFactor-1)*j.Terms.Aim):
+		return late
+	}
+	return hopeless
 }
 
 // queued tries every ready step of one job.
--- a/poll/poll.go
+++ b/poll/poll.go
@@ -27,6 +27,7 @@
 	Milli    int64      `json:"milliCores,omitempty"`
 	GPUs     int64      `json:"gpus,omitempty"`
 	Pool     string     `json:"pool,omitempty"`
+	Addr     string     `json:"addr,omitempty"`
 	Silent   ids.Span   `json:"silentMs,omitempty"`
 	Active   []RunState `json:"active,omitempty"`
 	Finished []RunEnd   `json:"finished,omitempty"`
--- a/poll/run.go
+++ b/poll/run.go
@@ -54,7 +54,7 @@
 // readAgent reads what only an agent says.
 func (a *Ask) readAgent(o *doc.Obj) {
 	a.Milli, a.GPUs = o.Int("milliCores", 0, 0, maxRoom), o.Int("gpus", 0, 0, maxRoom)
-	a.Pool = o.Text("pool", "")
+	a.Pool, a.Addr = o.Text("pool", ""), o.Text("addr", "")
 	a.Silent = ids.Span(o.Int("silentMs", 0, 0, 1<<40))
 	a.Left = o.Bool("left", false)
 	for _, one := range o.List("active", most) {
