Wounds for what agents must not do; the silent-then-cut scene has room to fail in

TestSilentThenCut could not fail: the job filled both runners, so that nothing could begin elsewhere.

--- a/keeper/agents_test.go
+++ b/keeper/agents_test.go
@@ -365,7 +365,7 @@
 // nothing of it may begin elsewhere before that hold is over.
 func TestSilentThenCut(t *testing.T) {
 	for seed := int64(1); seed <= 10; seed++ {
-		s := newSite(t, seed, 2)
+		s := newSite(t, seed, 3)
 		s.submit("00000000000000b1", 8, 30000)
 		s.run(2000)
 		s.hands[0].frozen = s.now + 5000
--- a/yard/break/main.go
+++ b/yard/break/main.go
@@ -34,7 +34,7 @@
 	{"fence never goes up (zone)", "book/duty.go", "r.fence = id", "r.fence = \"\"", trial("closing"), "P2 at", nil},
 	{"fence never goes up (leaving)", "book/duty.go", "r.fence = id", "r.fence = \"\"", trial("leaving"), "P1 at", []edit{
 		{"keeper/polls.go", "case !c.running[id] && !c.drain && r.Fence() == \"\":", "case !c.running[id]:"}, {"keeper/lead.go", "c.known && !c.drain &&", "c.known &&"}}},
-	{"re-placed before the grant is over", "keeper/lead.go", "span += span/10 + 1000", "span = 3000", trial("half|steps"), "P3 at", nil},
+	{"re-placed before the grant is over", "keeper/lead.go", "return now.Since(c.heard) > grant+grant/10+1000", "return now.Since(c.heard) > 3000", trial("half|steps"), "P3 at", nil},
 	{"runner ignores its grant", "runner/machine.go", "lapsed := m.now.Since(m.contact) > m.grant", "lapsed := false", []string{"./sim", "-run", "TestCutOff"}, "P3 at", nil},
 	{"steps in any order", "book/job.go", "if j.Spec.Steps[i].Name == name && j.count[i].well < len(j.Steps[i]) {", "if j.Spec.Steps[i].Name == name && j.count[i].well < 0 {", trial("steps"), "P4 at", nil},
 	{"appointed times ignored", "book/jobs.go", "j.Start = s.Spec.NotBefore", "j.Start = 0", trial("steps"), "P4 at", nil},
@@ -76,6 +76,9 @@
 	{"clock stands still in sleep", "crew/clock.go", "const source = unix.CLOCK_BOOTTIME", "const source = unix.CLOCK_MONOTONIC", []string{"./crew"}, "does not count suspend", nil},
 	{"step not held to its stage", "book/duty.go", "if c == nil || c.Stage != s.From {", "if c == nil {", []string{"./book", "-run", "TestRide"}, "a step from a stage long past", nil},
 	{"a silent seat is kept long", "keeper/seats.go", "silentMs  = 2000", "silentMs  = 10000", []string{"./sim", "-run", "TestLossesInTurn"}, "nobody leads", nil},
+	{"an agent's last word is taken for its runner's", "keeper/lead.go", "return now.Since(c.heard) > span || c.silent > span", "return c.quiet(now) > span", []string{"./keeper", "-run", "TestSilentThenCut"}, "TWICE", nil},
+	{"drained starts are kept", "keeper/health.go", "if never := m.never(); len(never) > 0 {", "if never := m.never(); len(never) > 1<<20 {", []string{"./keeper", "-run", "TestDraining"}, "is running", nil},
+	{"what stands still is left", "keeper/health.go", "return p.still+m.now.Since(c.heard) > span", "return false", []string{"./keeper", "-run", "TestStandsStill"}, "the job is running", nil},
 	{"runs named unlike", "book/queue.go", "		ref.Job = timeKey(j.Key, 0)", "		_ = timeKey", []string{"./keeper", "-run", "TestCancelAtOnce"}, "LIMIT", nil},
 	{"refused what may be taken", "gate/machine.go", "c.Verb != \"GET\" && (c.lost || c.ask != 0)", "c.Verb == \"\"", []string{"./gate", "-run", "TestOutcomeUnknown"}, "passed on, then out of touch", nil},
 	{"torn records taken", "ring/record.go", "if binary.LittleEndian.Uint32(rec[16:]) != sum(rec) {", "if false {", []string{"./ring"}, "FAIL", nil},
