A runner that has crashed is known to be dead when its own hold is over

Weighed: 1.5 s would know sooner, but a loss of power everywhere lasts up to 2.6 s until agents are in touch again, and all that runs would be lost with it. TestDeadRunner; two wounds, both noticed.

--- a/agent/beat.go
+++ b/agent/beat.go
@@ -25,6 +25,10 @@
 	Seed int64
 	// HoldMost is the longest hold a runner takes, in milliseconds.
 	HoldMost ids.Span
+	// HoldUsual is what a runner is given while all is well, 0 for HoldMost. The
+	// shorter it is, the sooner a runner that has crashed is known to be dead; it
+	// must outlast an agent that is started again.
+	HoldUsual ids.Span
 	// Pace is how long a runner should wait between heartbeats, in milliseconds.
 	Pace ids.Span
 }
--- a/agent/machine.go
+++ b/agent/machine.go
@@ -17,6 +17,12 @@
 
 	beat   *Beat
 	beaten ids.Mono
+	// held is when the last hold given to the runner, by this process or one
+	// before it, has run out on the slowest clock.
+	held ids.Mono
+	down bool
+	// buried says that the core has been told that the runner is dead.
+	buried bool
 	past   map[ids.Inc]bool
 	left   ids.Mono
 	queue  map[run]*order
@@ -65,6 +71,10 @@
 	// core holds one; after that it is slack longer than that.
 	pollWait = 1000
 	slack    = 150
+	// A runner is dead once it has been silent for deadSilence and its hold has
+	// been over for deadSlack.
+	deadSilence = 1000
+	deadSlack   = 100
 	// stillTold is how long a run stands still before the core is told.
 	stillTold = 400
 	backMost  = 400
@@ -80,9 +90,21 @@
 		m.at = int(uint64(boot.Seed) % uint64(n))
 	}
 	m.forget()
+	m.held = now.Add(boot.HoldMost + boot.HoldMost/50)
 	return m
 }
 
+// Stop says that this agent is about to end: from now on its runner is held for
+// as long as may be.
+func (m *Machine) Stop() { m.down = true }
+
+func (m *Machine) usual() (hold ids.Span) {
+	if m.boot.HoldUsual == 0 || m.down {
+		return m.boot.HoldMost
+	}
+	return min(m.boot.HoldUsual, m.boot.HoldMost)
+}
+
 func (m *Machine) forget() {
 	m.queue, m.halts, m.gone, m.seen = map[run]*order{}, map[run]bool{}, map[run]bool{}, 0
 	m.moved = map[run]step{}
@@ -115,10 +137,11 @@
 	}
 	m.look(&b)
 	m.progress(&b)
-	m.beat, m.beaten, m.left = &b, m.now, 0
+	m.beat, m.beaten, m.left, m.buried = &b, m.now, 0, false
 	o.Fence, o.Observed = m.fence, m.seen
 	if hold := m.grant - m.now.Since(m.contact); m.touched && hold > 0 {
-		o.Hold = min(hold, m.boot.HoldMost)
+		o.Hold = min(hold, m.usual())
+		m.held = max(m.held, m.now.Add(o.Hold+o.Hold/50))
 		m.hand(&o)
 	}
 	for r := range m.halts {
@@ -261,6 +284,10 @@
 			m.news = true
 		}
 	}
+	if m.dead() && !m.buried {
+		m.buried, m.news = true, true
+		m.event("runner-dead", "runner", m.beat.Runner, "quietMs", m.now.Since(m.beaten))
+	}
 	if m.open != nil && m.now.Since(m.open.sent) > m.wait {
 		m.open = nil
 		m.fail()
@@ -274,6 +301,11 @@
 	m.next = m.now.Add(m.back/2 + ids.Span(m.seq*7919%uint64(m.back)))
 }
 
+// dead tells whether the runner is silent and whatever it ran is over.
+func (m *Machine) dead() (yes bool) {
+	return m.beat != nil && m.now > m.held.Add(deadSlack) && m.now.Since(m.beaten) > deadSilence
+}
+
 // polls keeps one poll open at the core; news goes out in a new one that takes
 // its place.
 func (m *Machine) polls() {
@@ -308,6 +340,7 @@
 		}
 		a.Active = append(a.Active, x)
 	}
+	a.Dead = m.dead()
 	a.Left = m.left > 0 && m.now.Since(m.left) > leaveLag
 	for _, x := range m.waiting() {
 		a.Active = append(a.Active, poll.RunState{Task: x.Task, Run: x.No})
--- a/agentdesk/desk.go
+++ b/agentdesk/desk.go
@@ -104,6 +104,12 @@
 	return d.errands.Do(ctx, func(m *agent.Machine) { m.Leave(id, d.clock.Now()) })
 }
 
+// Stop says that the agent is about to end. It comes before the parting from
+// the runner, whose last heartbeats are then answered with the longest hold.
+func (d *Desk) Stop(ctx context.Context) (ok bool) {
+	return d.errands.Do(ctx, func(m *agent.Machine) { m.Stop() })
+}
+
 // Look runs f on the desk's own duty. If not ok, f has not run and won't.
 func (d *Desk) Look(ctx context.Context, f func(m *agent.Machine)) (ok bool) {
 	return d.errands.Do(ctx, f)
--- a/keeper/agents.go
+++ b/keeper/agents.go
@@ -117,7 +117,7 @@
 		return true
 	}
 	r := m.book.Runners[name]
-	if !p.Left {
+	if !p.Left && !p.Dead {
 		return p.Silent < 2*m.book.Table.Site("startMs")
 	}
 	if r != nil && r.Inc == p.Inc && !r.Gone && m.lead.losing[name] <= m.at {
--- a/keeper/agents_test.go
+++ b/keeper/agents_test.go
@@ -57,6 +57,7 @@
 	// is until when the runner does nothing.
 	dead, mute, hung, cut bool
 	frozen                ids.Mono
+	hold                  ids.Span
 	until                 ids.Mono
 	saves                 bool
 }
@@ -87,7 +88,7 @@
 }
 
 func (s *site) agent(h *hand) (m *agent.Machine) {
-	return agent.New(agent.Boot{Name: ids.Runner(h.name), Addr: h.name, Domain: "a", Seeds: []string{"k"}, Seed: int64(s.now) * 1000, HoldMost: 6000, Pace: 100}, s.now)
+	return agent.New(agent.Boot{Name: ids.Runner(h.name), Addr: h.name, Domain: "a", Seeds: []string{"k"}, Seed: int64(s.now) * 1000, HoldMost: 6000, HoldUsual: h.hold, Pace: 100}, s.now)
 }
 
 // request asks the keeper and waits for its answer.
@@ -396,6 +397,31 @@
 	}
 }
 
+// TestDeadRunner: a runner crashes for good. What it ran begins elsewhere as soon
+// as its own hold must be over, long before its agent's grant is; and never
+// sooner, also when only its beats stopped while it went on.
+func TestDeadRunner(t *testing.T) {
+	for seed := int64(1); seed <= 10; seed++ {
+		s := newSite(t, seed, 3)
+		for _, h := range s.hands {
+			h.hold = 3500
+			h.mach = s.agent(h)
+		}
+		s.run(8000)
+		s.submit("00000000000000d1", 8, 2000)
+		s.run(1000 + ids.Mono(s.rnd.Intn(300)))
+		if s.rnd.Intn(2) == 0 {
+			s.hands[0].dead = true
+		} else {
+			s.hands[0].next = 1 << 40
+		}
+		s.run(7500)
+		if w := s.state("00000000000000d1"); w != "well" {
+			t.Errorf("seed %d: 7.5 s after the crash the job is %s", seed, w)
+		}
+	}
+}
+
 // TestDraining: nothing begins on a runner once its agent has answered a beat
 // that said it drains, also when starts were on their way.
 func TestDraining(t *testing.T) {
--- a/poll/poll.go
+++ b/poll/poll.go
@@ -32,9 +32,11 @@
 	Active   []RunState `json:"active,omitempty"`
 	Finished []RunEnd   `json:"finished,omitempty"`
 	// Gone are runs that were to stop and are certain never to run here again;
-	// Left says that the runner has ended in good order.
+	// Left says that the runner has ended in good order, Dead that it is silent
+	// and that every hold it was given has run out.
 	Gone []RunStop `json:"gone,omitempty"`
 	Left bool      `json:"left,omitempty"`
+	Dead bool      `json:"dead,omitempty"`
 }
 
 // End is one attempt that ended, repeated until acknowledged.
--- a/poll/run.go
+++ b/poll/run.go
@@ -56,7 +56,7 @@
 	a.Milli, a.GPUs = o.Int("milliCores", 0, 0, maxRoom), o.Int("gpus", 0, 0, maxRoom)
 	a.Pool, a.Addr = o.Text("pool", ""), o.Text("addr", "")
 	a.Silent = ids.Span(o.Int("silentMs", 0, 0, 1<<40))
-	a.Left = o.Bool("left", false)
+	a.Left, a.Dead = o.Bool("left", false), o.Bool("dead", false)
 	for _, one := range o.List("active", most) {
 		s := RunState{Task: readTask(one), Run: readRun(one), Saved: readSaved(one), Percent: one.Int("percent", 0, 0, 1<<20), Still: ids.Span(one.Int("stillMs", 0, 0, 1<<40))}
 		one.Done()
--- a/yard/break/main.go
+++ b/yard/break/main.go
@@ -79,6 +79,8 @@
 	{"an agent's last word is taken for its runner's", "keeper/lead.go", "return now.Since(c.heard) > span || c.silent > span", "return c.quiet(now) > span", []string{"./keeper", "-run", "TestSilentThenCut"}, "TWICE", nil},
 	{"drained starts are kept", "keeper/health.go", "if never := m.never(); len(never) > 0 {", "if never := m.never(); len(never) > 1<<20 {", []string{"./keeper", "-run", "TestDraining"}, "is running", nil},
 	{"what stands still is left", "keeper/health.go", "return p.still+m.now.Since(c.heard) > span", "return false", []string{"./keeper", "-run", "TestStandsStill"}, "the job is running", nil},
+	{"a silent runner is taken for dead", "agent/machine.go", "m.now > m.held.Add(deadSlack)", "m.now > m.beaten.Add(deadSlack)", []string{"./keeper", "-run", "TestDeadRunner"}, "TWICE", nil},
+	{"a dead runner is waited for", "agent/machine.go", "	a.Dead = m.dead()\n", "", []string{"./keeper", "-run", "TestDeadRunner"}, "after the crash the job is running", nil},
 	{"runs named unlike", "book/queue.go", "		ref.Job = timeKey(j.Key, 0)", "		_ = timeKey", []string{"./keeper", "-run", "TestCancelAtOnce"}, "LIMIT", nil},
 	{"refused what may be taken", "gate/machine.go", "c.Verb != \"GET\" && (c.lost || c.ask != 0)", "c.Verb == \"\"", []string{"./gate", "-run", "TestOutcomeUnknown"}, "passed on, then out of touch", nil},
 	{"torn records taken", "ring/record.go", "if binary.LittleEndian.Uint32(rec[16:]) != sum(rec) {", "if false {", []string{"./ring"}, "FAIL", nil},
