--- a/keeper/agents_test.go
+++ b/keeper/agents_test.go
@@ -408,16 +408,16 @@
 			h.mach = s.agent(h)
 		}
 		s.run(8000)
-		s.submit("00000000000000d1", 8, 2000)
+		s.submit("00000000000000d1", 8, 5000)
 		s.run(1000 + ids.Mono(s.rnd.Intn(300)))
 		if s.rnd.Intn(2) == 0 {
 			s.hands[0].dead = true
 		} else {
 			s.hands[0].next = 1 << 40
 		}
-		s.run(7500)
+		s.run(10000)
 		if w := s.state("00000000000000d1"); w != "well" {
-			t.Errorf("seed %d: 7.5 s after the crash the job is %s", seed, w)
+			t.Errorf("seed %d: 10 s after the crash the job is %s", seed, w)
 		}
 	}
 }
