--- a/agent/machine.go
+++ b/agent/machine.go
@@ -71,6 +71,9 @@
 	// core holds one; after that it is slack longer than that.
 	pollWait = 1000
 	slack    = 150
+	// seekWait takes its place once nothing was heard for lostAfter.
+	seekWait  = 300
+	lostAfter = 2000
 	// A runner is dead once it has been silent for deadSilence and its hold has
 	// been over for deadSlack.
 	deadSilence = 1000
@@ -288,13 +291,22 @@
 		m.buried, m.news = true, true
 		m.event("runner-dead", "runner", m.beat.Runner, "quietMs", m.now.Since(m.beaten))
 	}
-	if m.open != nil && m.now.Since(m.open.sent) > m.wait {
+	if m.open != nil && m.now.Since(m.open.sent) > m.patience() {
 		m.open = nil
 		m.fail()
 	}
 	m.polls()
 }
 
+// patience is how long an open poll is waited for; whoever lost touch asks more
+// often, since the core answers its first poll at once.
+func (m *Machine) patience() (s ids.Span) {
+	if m.now.Since(m.contact) > lostAfter {
+		return seekWait
+	}
+	return m.wait
+}
+
 func (m *Machine) fail() {
 	m.at++
 	m.back = min(max(50, m.back*2), backMost)
--- a/keeper/polls.go
+++ b/keeper/polls.go
@@ -14,6 +14,10 @@
 	"orchidward/wire"
 )
 
+// away is how long a runner has not polled when its next poll is answered at
+// once, so that whoever was cut off knows that it no longer is.
+const away = 1000
+
 func sortGrants(list []ids.Grant) {
 	sort.Slice(list, func(i, j int) bool { return list[i] < list[j] })
 }
@@ -55,8 +59,12 @@
 		return
 	}
 	m.shut(c)
+	back := !c.known || m.now.Since(c.heard) > away
 	c.seq, c.heard, c.silent, c.known, c.drain = p.Seq, m.now, p.Silent, true, p.Mode == poll.Draining
 	c.open, c.peer, c.id, c.since = true, peer, id, m.now
+	if back {
+		c.since -= ids.Mono(m.book.Table.Site("startMs"))
+	}
 	was := c.told
 	c.running, c.ended, c.told = map[ids.Grant]bool{}, map[ids.Grant]poll.End{}, map[ids.Grant]bool{}
 	l.hot[name] = true
