Any answer holds a runner's work; the scale run, and what each role costs at the size

Cause: a run whose percentage stood for 400 ms was news, news replaced the open poll, and the answer to a replaced poll was thrown away, so that the grant ran out with nothing lost: at work that moves seldom and out of step every hold lapsed. Change: an answer to any poll of this life counts as contact from when that was sent; a run is told of as standing still when it stands far longer than between its last moves; polls are given up sooner only after one was in vain.

--- a/agent/machine.go
+++ b/agent/machine.go
@@ -35,6 +35,8 @@
 	at      int
 	seq     uint64
 	open    *ask
+	// asked is when each of the last polls was sent.
+	asked   map[uint64]ids.Mono
 	next    ids.Mono
 	back    ids.Span
 	news    bool
@@ -74,6 +76,7 @@
 	// seekWait takes its place once nothing was heard for lostAfter.
 	seekWait  = 300
 	lostAfter = 2000
+	askedKept = 5000
 	// A runner is dead once it has been silent for deadSilence and its hold has
 	// been over for deadSlack.
 	deadSilence = 1000
@@ -88,7 +91,7 @@
 )
 
 func New(boot Boot, now ids.Mono) (m *Machine) {
-	m = &Machine{boot: boot, now: now, keepers: boot.Seeds, seq: uint64(boot.Seed), wait: pollWait, past: map[ids.Inc]bool{}}
+	m = &Machine{boot: boot, now: now, keepers: boot.Seeds, seq: uint64(boot.Seed), wait: pollWait, past: map[ids.Inc]bool{}, asked: map[uint64]ids.Mono{}}
 	if n := len(boot.Seeds); n > 0 {
 		m.at = int(uint64(boot.Seed) % uint64(n))
 	}
@@ -216,9 +219,13 @@
 type step struct {
 	percent int64
 	at      ids.Mono
+	gap     ids.Span
 	told    bool
 }
 
+// late tells whether a run has stood still for far longer than it used to.
+func (s step) late(now ids.Mono) (yes bool) { return now.Since(s.at) >= stillTold+4*s.gap }
+
 // progress notes when each run last moved.
 func (m *Machine) progress(b *Beat) {
 	was := m.moved
@@ -227,9 +234,11 @@
 		r := run{a.Task, a.Run}
 		s, ok := was[r]
 		switch {
-		case !ok || s.percent != a.Percent:
+		case !ok:
 			s = step{percent: a.Percent, at: m.now}
-		case !s.told && m.now.Since(s.at) >= stillTold:
+		case s.percent != a.Percent:
+			s = step{percent: a.Percent, at: m.now, gap: m.now.Since(s.at)}
+		case !s.told && s.late(m.now):
 			s.told = true
 			m.news = true
 		}
@@ -301,7 +310,7 @@
 // patience is how long an open poll is waited for; whoever lost touch asks more
 // often, since the core answers its first poll at once.
 func (m *Machine) patience() (s ids.Span) {
-	if m.now.Since(m.contact) > lostAfter {
+	if m.back > 0 && m.now.Since(m.contact) > lostAfter {
 		return seekWait
 	}
 	return m.wait
@@ -330,6 +339,12 @@
 	m.seq++
 	m.news = false
 	m.open = &ask{m.seq, m.now, m.beat.Runner}
+	m.asked[m.seq] = m.now
+	for seq, sent := range m.asked {
+		if m.now.Since(sent) > askedKept {
+			delete(m.asked, seq)
+		}
+	}
 	body, err := json.Marshal(m.ask())
 	if err != nil {
 		panic(err)
@@ -347,8 +362,8 @@
 		a.Mode, a.Departs = poll.Draining, max(0, b.Departs-m.now.Since(m.beaten))
 	}
 	for _, x := range b.Active {
-		if still := m.now.Since(m.moved[run{x.Task, x.Run}].at); still >= stillTold {
-			x.Still = still
+		if s := m.moved[run{x.Task, x.Run}]; s.late(m.now) {
+			x.Still = m.now.Since(s.at)
 		}
 		a.Active = append(a.Active, x)
 	}
@@ -374,11 +389,16 @@
 		return
 	}
 	r := msg.Reply
-	if r == nil || m.open == nil || r.ID != m.open.seq {
+	if r == nil {
+		return
+	}
+	if m.open == nil || r.ID != m.open.seq {
+		m.stale(r)
 		return
 	}
 	open := m.open
 	m.open = nil
+	delete(m.asked, open.seq)
 	var a poll.Answer
 	if r.Moved || r.Status != 200 || json.Unmarshal(r.Body, &a) != nil {
 		if !r.Moved && r.Status != m.odd {
@@ -397,6 +417,26 @@
 	m.polls()
 }
 
+// stale hears an answer to a poll that another has replaced or that was given
+// up: what it orders is passed over, since the core says it again, but it shows
+// that the core has heard this agent since the poll was sent.
+func (m *Machine) stale(r *wire.Reply) {
+	sent, ok := m.asked[r.ID]
+	if !ok {
+		return
+	}
+	delete(m.asked, r.ID)
+	var a poll.Answer
+	if r.Moved || r.Status != 200 || json.Unmarshal(r.Body, &a) != nil {
+		return
+	}
+	m.contact, m.touched = max(m.contact, sent), true
+	if a.GrantMs > 0 {
+		m.grant = a.GrantMs
+	}
+	m.fence = max(m.fence, a.Fence)
+}
+
 // follow hears a new leader say that it leads, and turns to it at once.
 func (m *Machine) follow(t *wire.Tell) {
 	if len(m.keepers) > 0 && m.keepers[m.at%len(m.keepers)] == t.Addr && m.open != nil {
--- a/keeper/agents_test.go
+++ b/keeper/agents_test.go
@@ -30,6 +30,8 @@
 	rnd    *rand.Rand
 	done   map[string]bool
 	starts map[string]int
+	// lapses counts the runs that outlived their hold.
+	lapses int
 }
 
 // post is a message under way.
@@ -229,6 +231,9 @@
 			continue
 		}
 		ended = true
+		if how == poll.Lapsed {
+			s.lapses++
+		}
 		h.n++
 		e := poll.RunEnd{N: h.n, Task: r.Task, Run: r.No, How: how}
 		if h.saves && how != poll.Well {
@@ -422,6 +427,28 @@
 	}
 }
 
+// TestLongWork: many long runs, whose percentages move seldom and at all times,
+// go on under their holds for as long as they last.
+func TestLongWork(t *testing.T) {
+	s := newSite(t, 5, 3)
+	for _, h := range s.hands {
+		h.room = job.Demand{Milli: 20000, Mem: 20000}
+		h.hold = 3500
+		h.mach = s.agent(h)
+	}
+	s.run(8000)
+	for i := 0; i < 60; i++ {
+		s.submit(fmt.Sprintf("%016x", i), 1, 110000+s.rnd.Intn(40000))
+	}
+	s.run(100000)
+	if s.lapses > 0 {
+		t.Errorf("%d of 60 runs lapsed with nothing lost", s.lapses)
+	}
+	if n := len(s.hands[0].runs) + len(s.hands[1].runs) + len(s.hands[2].runs); n != 60 {
+		t.Errorf("%d of 60 run", n)
+	}
+}
+
 // TestDraining: nothing begins on a runner once its agent has answered a beat
 // that said it drains, also when starts were on their way.
 func TestDraining(t *testing.T) {
--- /dev/null
+++ b/yard/scale/fleet.go
@@ -0,0 +1,219 @@
+// The fleet of a scale run: three keepers, gates, a few whole agents, each in
+// a process of its own, and the hollow crowd in this one.
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"orchidward/crew"
+)
+
+const (
+	keepers     = 3
+	gates       = 2
+	keeperProcs = 2
+	// agentPort is where the platform's agent listens, counted from the keeper
+	// that its settings name.
+	agentPort = 2
+)
+
+type fleet struct {
+	dir   string
+	crew  *crew.Crew
+	clock *crew.Clock
+	crowd *crowd
+	web   *http.Client
+
+	keep, gate, agent []*child
+	addrs, pages      []string
+	fronts            []string
+	sides             []*side
+}
+
+// ports finds a row of ports that nobody listens on.
+func ports(n int) (first int, err error) {
+	for at := 21000; at < 29000; at += n {
+		free := true
+		for i := 0; i < n && free; i++ {
+			ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", at+i))
+			if free = err == nil; free {
+				ln.Close()
+			}
+		}
+		if free {
+			return at, nil
+		}
+	}
+	return 0, errors.New("no free ports")
+}
+
+func here(port int) (addr string) { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+func newFleet(dir string, whole int) (f *fleet, err error) {
+	f = &fleet{dir: dir, crew: crew.New(), clock: crew.NewClock(), web: &http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 32}}}
+	if _, err = os.Stat("cmd/keeper"); err != nil {
+		return nil, errors.Wrap(err, "run from the root of the repository")
+	}
+	cmd := exec.Command("go", "build", "-o", dir+"/", "./cmd/keeper", "./cmd/gate", "./platform/orchidward")
+	cmd.Stderr = os.Stderr
+	if err = cmd.Run(); err != nil {
+		return nil, errors.Wrap(err, "build")
+	}
+	return f, f.begin(whole)
+}
+
+// begin starts the processes; those that came up are ended by close.
+func (f *fleet) begin(whole int) (err error) {
+	at, err := ports(50)
+	if err != nil {
+		return err
+	}
+	for i := range keepers {
+		f.addrs, f.pages = append(f.addrs, here(at+10*i)), append(f.pages, here(at+10*i+5))
+	}
+	seeds := strings.Join(f.addrs, ",")
+	for i := range keepers {
+		name := fmt.Sprintf("keeper-%d", i)
+		c, err := start(f.dir, name, "keeper", keeperProcs, nil, "--data", filepath.Join(f.dir, "data-"+name), "--addr", f.addrs[i], "--http", f.pages[i], "--domain", fmt.Sprintf("z%d", i), "--seeds", seeds)
+		if err != nil {
+			return err
+		}
+		f.keep = append(f.keep, c)
+	}
+	for i := range gates {
+		f.fronts = append(f.fronts, here(at+40+2*i+1))
+		c, err := start(f.dir, fmt.Sprintf("gate-%d", i), "gate", 1, nil, "--addr", here(at+40+2*i), "--http", f.fronts[i], "--domain", fmt.Sprintf("z%d", i), "--seeds", seeds, "--body-kb", "4096")
+		if err != nil {
+			return err
+		}
+		f.gate = append(f.gate, c)
+	}
+	f.crowd = newCrowd(f.crew, f.clock, f.addrs)
+	for i := range min(whole, keepers) {
+		if err = f.whole(i, at+10*i); err != nil {
+			return err
+		}
+	}
+	return f.wait(20*time.Second, "gates ready", func() (ok bool) {
+		for _, front := range f.fronts {
+			if status, _, err := f.get("http://" + front + "/ready"); err != nil || status != 200 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// whole starts one agent of the platform's dress, with a stand-in runner that
+// beats to it over HTTP.
+func (f *fleet) whole(i, port int) (err error) {
+	run := f.crowd.newRunner(10_000 + i)
+	name, control := fmt.Sprintf("agent-%d", i), here(port+6)
+	text := fmt.Sprintf("node = %q\nrole = \"agent\"\nmachineClass = \"side\"\nserves = [\"side\"]\nip = \"127.0.0.1\"\nzone = %q\nportRange = [%d,%d]\nseeds = [%q]\ncommands = \"heartbeat\"\ntarget = %q\n[listen]\ncontrol = %q\n[limits]\nmemoryMb = 256\n",
+		name, run.domain, port, port+agentPort, here(port+9), pool, control)
+	path := filepath.Join(f.dir, name+".toml")
+	if err = os.WriteFile(path, []byte(text), 0o644); err != nil {
+		return err
+	}
+	c, err := start(f.dir, name, "orchidward", 1, []string{"ORCHIDWARD_CONFIG=" + path}, "agent")
+	if err != nil {
+		return err
+	}
+	f.agent = append(f.agent, c)
+	s := newSide(f.crowd, run, control)
+	f.sides = append(f.sides, s)
+	f.crew.Go(s.live)
+	return nil
+}
+
+func (f *fleet) close() {
+	ctx, end := context.WithTimeout(context.Background(), 5*time.Second)
+	defer end()
+	_ = f.crew.Stop(ctx)
+	for _, list := range [][]*child{f.agent, f.gate, f.keep} {
+		for _, c := range list {
+			c.end()
+		}
+	}
+}
+
+// kill ends the processes at once.
+func (f *fleet) kill() {
+	for _, list := range [][]*child{f.agent, f.gate, f.keep} {
+		for _, c := range list {
+			_ = c.cmd.Process.Kill()
+		}
+	}
+}
+
+func (f *fleet) wait(most time.Duration, what string, met func() (ok bool)) (err error) {
+	for end := time.Now().Add(most); !met(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			return errors.Errorf("not within %v: %s", most, what)
+		}
+	}
+	return nil
+}
+
+func (f *fleet) get(url string) (status int, body []byte, err error) {
+	return f.send(http.MethodGet, url, "")
+}
+
+func (f *fleet) send(verb, url, text string) (status int, body []byte, err error) {
+	r, err := http.NewRequest(verb, url, strings.NewReader(text))
+	if err != nil {
+		return 0, nil, err
+	}
+	res, err := f.web.Do(r)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer res.Body.Close()
+	body, err = io.ReadAll(res.Body)
+	return res.StatusCode, body, err
+}
+
+// gauges reads a daemon's metrics page.
+func (f *fleet) gauges(addr string) (vals map[string]float64, err error) {
+	_, body, err := f.get("http://" + addr + "/metrics")
+	if err != nil {
+		return nil, err
+	}
+	vals = map[string]float64{}
+	for s := bufio.NewScanner(strings.NewReader(string(body))); s.Scan(); {
+		key, val, _ := strings.Cut(s.Text(), " ")
+		if n, err := strconv.ParseFloat(val, 64); err == nil {
+			vals[strings.TrimPrefix(key, "orchidward_")] = n
+		}
+	}
+	return vals, nil
+}
+
+// leader is the place of the keeper that leads, -1 if none says so.
+func (f *fleet) leader() (i int, vals map[string]float64) {
+	for i, page := range f.pages {
+		if vals, err := f.gauges(page); err == nil && vals["leader"] == 1 {
+			return i, vals
+		}
+	}
+	return -1, nil
+}
+
+// put hands one job in at a gate.
+func (f *fleet) put(front, id, body string) (status int, err error) {
+	status, _, err = f.send(http.MethodPut, "http://"+front+"/v1/jobs/q/"+id, body)
+	return status, err
+}
--- /dev/null
+++ b/yard/scale/hold.go
@@ -0,0 +1,94 @@
+// A trial in virtual time of one agent whose core loses nothing and answers as
+// the leader does: a poll that a later one replaces at once, any other once it
+// has been held. No beat should go without a hold.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"orchidward/agent"
+	"orchidward/ids"
+	"orchidward/poll"
+	"orchidward/wire"
+)
+
+const (
+	holdSpan  ids.Mono = 100_000
+	holdFrom  ids.Mono = 10_000
+	holdGrant ids.Span = 6000
+	holdOpen  ids.Span = 600
+)
+
+// stub is the core of the trial: the poll it holds, and since when.
+type stub struct {
+	mach  *agent.Machine
+	open  uint64
+	since ids.Mono
+	polls int
+}
+
+func (s *stub) answer(id uint64, now ids.Mono) {
+	text, err := json.Marshal(poll.Answer{GrantMs: holdGrant, StartMs: 1000})
+	if err != nil {
+		panic(err)
+	}
+	s.mach.Frame("k", wire.Msg{Reply: &wire.Reply{ID: id, Status: 200, Body: text}}, now)
+}
+
+// step answers what is due and takes in what the agent sends.
+func (s *stub) step(now ids.Mono) {
+	if s.open != 0 && now.Since(s.since) >= holdOpen {
+		id := s.open
+		s.open = 0
+		s.answer(id, now)
+	}
+	for list := s.mach.Take().Sends; len(list) > 0; list = s.mach.Take().Sends {
+		for _, x := range list {
+			if x.Msg.Ask == nil {
+				continue
+			}
+			was := s.open
+			s.open, s.since = x.Msg.Ask.ID, now
+			s.polls++
+			if was != 0 {
+				s.answer(was, now)
+			}
+		}
+	}
+}
+
+// holdTrial has so many tasks of about such a span run on, out of step, and
+// counts the beats after the first ten seconds that were answered without a hold.
+func holdTrial(tasks int, span ids.Span) (polls, bare, beats int) {
+	s := &standIn{inc: "a", domain: "n", rack: "r", until: 1 << 40}
+	c := &stub{mach: agent.New(agent.Boot{Name: "a", Addr: "x", Domain: "n", Seeds: []string{"k"}, Seed: 1, HoldMost: holdMost, Pace: beatGap}, 0)}
+	for i := range tasks {
+		s.runs = append(s.runs, &work{task: ids.Ref{Job: "q/00000000000000a1.0", Num: i}, no: 1, span: span + ids.Span(i)*span/97, at: ids.Mono(-217 * i)})
+	}
+	for now := ids.Mono(0); now < holdSpan; now += ids.Mono(agent.Tick) {
+		c.mach.Tick(now)
+		if s.due(now) {
+			o := c.mach.Beat(s.beat(now), now)
+			s.obey(o, now, now)
+			if now > holdFrom {
+				beats++
+				if o.Hold == 0 {
+					bare++
+				}
+			}
+		}
+		c.step(now)
+	}
+	return c.polls, bare, beats
+}
+
+func holdTrials() {
+	for _, one := range []struct {
+		tasks int
+		span  ids.Span
+	}{{1, 117_000}, {5, 117_000}, {14, 117_000}, {14, 300_000}, {24, 3_000_000}, {14, 30_000}, {14, 1 << 40}} {
+		polls, bare, beats := holdTrial(one.tasks, one.span)
+		fmt.Printf("%d tasks of %d s: %.2f polls/s, %d of %d beats without a hold\n", one.tasks, one.span/1000, float64(polls)/float64(holdSpan)*1000, bare, beats)
+	}
+}
--- /dev/null
+++ b/yard/scale/hollow.go
@@ -0,0 +1,207 @@
+// A hollow agent is the agent's own machine on the agent's own line to the
+// core, beside a stand-in runner; many of them share one process.
+package main
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"orchidward/agent"
+	"orchidward/crew"
+	"orchidward/ids"
+	"orchidward/job"
+	"orchidward/link"
+	"orchidward/wire"
+)
+
+const (
+	pool               = "scale"
+	holdMost           = 6000
+	beatGap            = 100
+	groupSize          = 75
+	sampleEach         = 20
+	zones              = 7
+	perRack            = 12
+	accelerators       = 5
+	slowest      int64 = 120_000
+)
+
+type hollow struct {
+	mach *agent.Machine
+	link *link.Link
+	run  *standIn
+	// size counts this agent's bytes; nil where they are not counted.
+	size *sizes
+}
+
+// sizes weighs frames by encoding them.
+type sizes struct {
+	sent, got atomic.Int64
+}
+
+type tally struct{ n *atomic.Int64 }
+
+func (t tally) Write(b []byte) (n int, err error) {
+	t.n.Add(int64(len(b)))
+	return len(b), nil
+}
+
+func weigh(n *atomic.Int64, msg wire.Msg) {
+	var w io.Writer = tally{n}
+	if err := wire.NewEncoder(w).Put(msg); err != nil {
+		panic(err)
+	}
+}
+
+// crowd is all the hollow agents of a run.
+type crowd struct {
+	crew  *crew.Crew
+	clock *crew.Clock
+	seeds []string
+
+	mu    sync.Mutex
+	waits *hdrhistogram.Histogram
+	list  []*hollow
+
+	starts, ends, lapsed, sent, got, running atomic.Int64
+}
+
+func newCrowd(c *crew.Crew, clock *crew.Clock, seeds []string) (w *crowd) {
+	return &crowd{crew: c, clock: clock, seeds: seeds, waits: hdrhistogram.New(1, slowest, 3)}
+}
+
+// begun notes how long a task of a job waited for its start.
+func (w *crowd) begun(handed, at ids.Mono) {
+	w.starts.Add(1)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_ = w.waits.RecordValue(min(slowest, max(1, int64(at.Since(handed)))))
+}
+
+// take hands over the waits since it was last called.
+func (w *crowd) waited() (h *hdrhistogram.Histogram) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	h, w.waits = w.waits, hdrhistogram.New(1, slowest, 3)
+	return h
+}
+
+// newRunner is the i-th runner of the fleet: one half of them has accelerators.
+func (w *crowd) newRunner(i int) (s *standIn) {
+	s = &standIn{inc: ids.Inc(fmt.Sprintf("run%d-%d", i, time.Now().UnixMilli())), domain: ids.Domain(fmt.Sprintf("z%d", i%zones)), rack: ids.Rack(fmt.Sprintf("rack-%d", i/perRack)), begun: w.begun}
+	rnd := rand.New(rand.NewPCG(uint64(i), 3))
+	s.vary = func(span ids.Span) (real ids.Span) { return span*9/10 + ids.Span(rnd.Int64N(int64(span)/5+1)) }
+	s.room = job.Demand{Milli: 24000, Mem: 64000}
+	if i%2 == 1 {
+		s.room.GPUs = accelerators
+	}
+	return s
+}
+
+// grow adds agents until there are so many.
+func (w *crowd) grow(to int) (err error) {
+	for len(w.list) < to {
+		g := &group{crowd: w, in: crew.NewRing[frame](8192)}
+		for len(g.list) < groupSize && len(w.list) < to {
+			h, err := w.hollow(len(w.list), g)
+			if err != nil {
+				return err
+			}
+			g.list, w.list = append(g.list, h), append(w.list, h)
+		}
+		w.crew.Go(g.live)
+	}
+	return nil
+}
+
+func (w *crowd) hollow(i int, g *group) (h *hollow, err error) {
+	h = &hollow{run: w.newRunner(i)}
+	if h.link, err = link.Listen("127.0.0.1:0", w.crew); err != nil {
+		return nil, err
+	}
+	if i%sampleEach == 0 {
+		h.size = &sizes{}
+	}
+	h.run.next = w.clock.Now() + ids.Mono(i%beatGap)
+	h.mach = agent.New(agent.Boot{Name: ids.Runner(fmt.Sprintf("hollow-%d", i)), Addr: h.link.Addr(), Domain: h.run.domain, Seeds: w.seeds,
+		Seed: time.Now().UnixMicro() + int64(i), HoldMost: holdMost, Pace: beatGap}, w.clock.Now())
+	h.link.Serve(func(from wire.Peer, msg wire.Msg) { g.in.Offer(frame{h, from, msg}) })
+	return h, nil
+}
+
+// sampled are the bytes of the agents whose frames are weighed, and their number.
+func (w *crowd) sampled() (sent, got int64, n int) {
+	for _, h := range w.list {
+		if h.size != nil {
+			sent, got, n = sent+h.size.sent.Load(), got+h.size.got.Load(), n+1
+		}
+	}
+	return sent, got, n
+}
+
+// frame is one for an agent.
+type frame struct {
+	to   *hollow
+	from wire.Peer
+	msg  wire.Msg
+}
+
+// group is some agents that one duty looks after.
+type group struct {
+	crowd *crowd
+	in    *crew.Ring[frame]
+	list  []*hollow
+}
+
+func (g *group) live(stop <-chan struct{}) {
+	t := time.NewTicker(agent.Tick.Real())
+	defer t.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case x := <-g.in.Out():
+			g.crowd.got.Add(1)
+			if x.to.size != nil {
+				weigh(&x.to.size.got, x.msg)
+			}
+			x.to.mach.Frame(x.from, x.msg, g.crowd.clock.Now())
+			g.out(x.to)
+		case <-t.C:
+			g.step()
+		}
+	}
+}
+
+func (g *group) step() {
+	for _, h := range g.list {
+		now := g.crowd.clock.Now()
+		h.mach.Tick(now)
+		was, ends := len(h.run.runs), h.run.n
+		if h.run.due(now) {
+			o := h.mach.Beat(h.run.beat(now), now)
+			h.run.obey(o, now, now)
+		}
+		g.crowd.running.Add(int64(len(h.run.runs) - was))
+		g.crowd.ends.Add(int64(h.run.n - ends))
+		g.crowd.lapsed.Add(h.run.lapses)
+		h.run.lapses = 0
+		g.out(h)
+	}
+}
+
+func (g *group) out(h *hollow) {
+	for _, s := range h.mach.Take().Sends {
+		g.crowd.sent.Add(1)
+		if h.size != nil {
+			weigh(&h.size.sent, s.Msg)
+		}
+		h.link.Send(s.To, s.Msg)
+	}
+}
--- /dev/null
+++ b/yard/scale/report.go
@@ -0,0 +1,170 @@
+// The report keeps the points, prints them as a table with the slopes, and
+// draws the plot.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+	"sort"
+
+	"github.com/wcharczuk/go-chart/v2"
+)
+
+type report struct {
+	settings
+	list  []measured
+	words []string
+}
+
+func newReport(s settings) (r *report) { return &report{settings: s} }
+
+func (r *report) say(format string, vals ...any) {
+	text := fmt.Sprintf(format, vals...)
+	r.words = append(r.words, text)
+	fmt.Println("#", text)
+}
+
+func (r *report) add(m measured) {
+	r.list = append(r.list, m)
+	if _, queues := m.Vals["allGatesMs"]; queues {
+		fmt.Printf("# %s %v: all gates in %.0f ms, %.0f kB to a gate\n", m.Phase, m.X, m.Vals["allGatesMs"], m.Vals["gateInKB"])
+		return
+	}
+	fmt.Printf("# %s %v: lead %.1f%% %.0f MB, %.1f starts/s, %.1f lapsed/s, %.0f running, %.1f cores\n", m.Phase, m.X, m.Vals["leadCpu%"], m.Vals["leadMB"], m.Vals["starts/s"], m.Vals["lapsed/s"], m.Vals["running"], m.Vals["cores"])
+}
+
+// rows are the points, alike ones together, in the order they came.
+func (r *report) rows() (keys []string, vals map[string]map[string][]float64) {
+	vals = map[string]map[string][]float64{}
+	for _, m := range r.list {
+		key := fmt.Sprintf("%s = %v", m.Phase, m.X)
+		if vals[key] == nil {
+			keys, vals[key] = append(keys, key), map[string][]float64{}
+		}
+		for name, v := range m.Vals {
+			vals[key][name] = append(vals[key][name], v)
+		}
+	}
+	return keys, vals
+}
+
+func (r *report) write(points, plot string) (err error) {
+	r.table()
+	r.slopes()
+	text, err := json.MarshalIndent(map[string]any{"points": r.list, "notes": r.words}, "", " ")
+	if err != nil {
+		return err
+	}
+	if err = os.WriteFile(points, text, 0o644); err != nil {
+		return err
+	}
+	return r.draw(plot)
+}
+
+func (r *report) table() {
+	keys, vals := r.rows()
+	for _, key := range keys {
+		fmt.Printf("\n%s\n", key)
+		names := []string{}
+		for name := range vals[key] {
+			if name != "polls" {
+				names = append(names, name)
+			}
+		}
+		sort.Slice(names, func(i, j int) bool {
+			return place(names[i]) < place(names[j]) || place(names[i]) == place(names[j]) && names[i] < names[j]
+		})
+		for _, name := range names {
+			s := spread(vals[key][name])
+			fmt.Printf("  %-18s %10.2f  (%.2f to %.2f, n=%d)\n", name, s.mean, s.low, s.high, s.n)
+		}
+	}
+}
+
+func place(name string) (i int) {
+	for i, one := range figures {
+		if one == name {
+			return i
+		}
+	}
+	return len(figures)
+}
+
+// spots are one figure over what was varied.
+func (r *report) spots(phase, figure string) (list []spot) {
+	for _, m := range r.list {
+		if v, ok := m.Vals[figure]; ok && m.Phase == phase {
+			list = append(list, spot{m.X, v})
+		}
+	}
+	return list
+}
+
+// sloped are the figures for which slopes are worked out.
+var sloped = []string{"leadCpu%", "leadMB", "leadInKB/s", "leadOutKB/s", "entries/s", "leadGets/s", "leadPuts/s", "followCpu%", "followMB", "followInKB/s", "followOutKB/s", "gateMB", "gateCpu%", "gateInKB/s", "agentCpu%", "agentMB", "agentInKB/s", "agentOutKB/s", "polls/s/agent", "pollOutB/s/agent", "pollInB/s/agent"}
+
+// slopes prints the lines, and the site's size worked out from them beside
+// what was measured there.
+func (r *report) slopes() {
+	fmt.Printf("\nslopes: figure = base + rate x; fit 1 is a straight line\n")
+	for _, name := range sloped {
+		site, known := 0.0, true
+		for i, one := range []struct {
+			phase string
+			size  float64
+		}{{phaseIdle, float64(r.runners)}, {phaseStarts, float64(r.starts)}, {phaseRunning, float64(r.tasks)}} {
+			l, ok := nearest(r.spots(one.phase, name))
+			if !ok {
+				known = false
+				continue
+			}
+			fmt.Printf("  %-18s %-22s %10.3f + %.6f x   fit %.3f\n", name, one.phase, l.base, l.rate, l.fit)
+			if site += l.rate * one.size; i == 0 {
+				site += l.base
+			}
+		}
+		if known {
+			s := spread(values(r.spots(phaseAll, name)))
+			fmt.Printf("  %-18s at the site's size: %.1f worked out, %.1f measured (%.1f to %.1f, n=%d)\n", name, site, s.mean, s.low, s.high, s.n)
+		}
+	}
+}
+
+func values(list []spot) (vals []float64) {
+	for _, s := range list {
+		vals = append(vals, s.y)
+	}
+	return vals
+}
+
+// draw plots the leader's processor time over the share of the site's size.
+func (r *report) draw(path string) (err error) {
+	c := chart.Chart{Title: "leader: share of one core", Width: 760, Height: 420,
+		XAxis: chart.XAxis{Name: "share of the site's size"}, YAxis: chart.YAxis{Name: "% of a core"}}
+	for i, one := range []struct {
+		phase string
+		size  float64
+	}{{phaseIdle, float64(r.runners)}, {phaseSlow, float64(r.runners)}, {phaseStarts, float64(r.starts)}, {phaseRunning, float64(r.tasks)}} {
+		s := chart.ContinuousSeries{Name: fmt.Sprintf("%s (1 = %v)", one.phase, one.size), Style: chart.Style{StrokeColor: chart.GetDefaultColor(i), StrokeWidth: 1, DotColor: chart.GetDefaultColor(i), DotWidth: 3}}
+		for _, p := range r.spots(one.phase, "leadCpu%") {
+			if !math.IsNaN(p.y) {
+				s.XValues, s.YValues = append(s.XValues, p.x/one.size), append(s.YValues, p.y)
+			}
+		}
+		if len(s.XValues) > 1 {
+			c.Series = append(c.Series, s)
+		}
+	}
+	if len(c.Series) == 0 {
+		return nil
+	}
+	c.Elements = []chart.Renderable{chart.LegendThin(&c)}
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return c.Render(chart.SVG, f)
+}
--- /dev/null
+++ b/yard/scale/runner.go
@@ -0,0 +1,150 @@
+// A stand-in runner does no work: it starts what it is told, shows how far each
+// run would be, ends it after its span, and beats.
+package main
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"orchidward/agent"
+	"orchidward/ids"
+	"orchidward/job"
+	"orchidward/poll"
+)
+
+// stopping is how long a run takes to end on order, in milliseconds.
+const stopping ids.Span = 150
+
+type standIn struct {
+	inc    ids.Inc
+	domain ids.Domain
+	rack   ids.Rack
+	room   job.Demand
+
+	seq   uint64
+	next  ids.Mono
+	until ids.Mono
+	runs  []*work
+	ends  []poll.RunEnd
+	n     uint64
+	// lapses counts the runs whose hold was over.
+	lapses int64
+	// begun hears of every start: when the job was handed in, and when it began.
+	begun func(handed, at ids.Mono)
+	// vary, if given, is how long a run of so long a span really takes.
+	vary func(span ids.Span) (real ids.Span)
+}
+
+// work is one run.
+type work struct {
+	task ids.Ref
+	no   uint64
+	span ids.Span
+	at   ids.Mono
+	stop ids.Mono
+}
+
+// note is the text that every job of a scale run bears: how long a task runs
+// and when the job was handed in, by the one clock of the run.
+func note(span ids.Span, handed ids.Mono) (text string) { return fmt.Sprintf("%d %d", span, handed) }
+
+func readNote(text string) (span ids.Span, handed ids.Mono, ok bool) {
+	a, b, _ := strings.Cut(text, " ")
+	x, err := strconv.ParseInt(a, 10, 64)
+	if err != nil || x <= 0 {
+		return 0, 0, false
+	}
+	y, err := strconv.ParseInt(b, 10, 64)
+	return ids.Span(x), ids.Mono(y), err == nil
+}
+
+// due lets time pass, and tells whether the runner would beat now. A run whose
+// hold is over has lapsed.
+func (s *standIn) due(now ids.Mono) (yes bool) {
+	kept := s.runs[:0]
+	for _, w := range s.runs {
+		how := ""
+		switch {
+		case now > s.until:
+			how = poll.Lapsed
+			s.lapses++
+		case w.stop > 0 && now >= w.stop:
+			how = poll.Stopped
+		case now.Since(w.at) >= w.span:
+			how = poll.Well
+		}
+		if how == "" {
+			kept = append(kept, w)
+			continue
+		}
+		s.n++
+		s.ends = append(s.ends, poll.RunEnd{N: s.n, Task: w.task, Run: w.no, How: how})
+	}
+	clear(s.runs[len(kept):])
+	s.runs = kept
+	return now >= s.next
+}
+
+// beat is what the runner says of itself.
+func (s *standIn) beat(now ids.Mono) (b agent.Beat) {
+	s.seq++
+	b = agent.Beat{Runner: s.inc, Seq: s.seq, Pool: pool, Domain: s.domain, Rack: s.rack, Cap: s.room}
+	for _, w := range s.runs {
+		b.Active = append(b.Active, poll.RunState{Task: w.task, Run: w.no, Percent: min(100, int64(now.Since(w.at)*100/w.span))})
+	}
+	b.Finished = append(b.Finished, s.ends...)
+	return b
+}
+
+// obey takes the answer to a beat that was sent at the given time.
+func (s *standIn) obey(o agent.Orders, sent, now ids.Mono) {
+	s.next = sent + ids.Mono(max(1, o.Retry))
+	if o.Hold > 0 {
+		s.until = max(s.until, sent.Add(o.Hold))
+	}
+	left := s.ends[:0]
+	for _, e := range s.ends {
+		if e.N > o.Observed {
+			left = append(left, e)
+		}
+	}
+	s.ends = left
+	for _, x := range o.Stop {
+		if w := s.find(x.Task, x.Run); w != nil && w.stop == 0 {
+			w.stop = now.Add(stopping)
+		}
+	}
+	for _, x := range o.Start {
+		s.start(x, now)
+	}
+}
+
+func (s *standIn) find(task ids.Ref, no uint64) (w *work) {
+	for _, one := range s.runs {
+		if one.task == task && one.no == no {
+			return one
+		}
+	}
+	return nil
+}
+
+// start turns away what bears no note, and takes the same start only once.
+func (s *standIn) start(x poll.Start, now ids.Mono) {
+	if s.find(x.Task, x.No) != nil {
+		return
+	}
+	span, handed, ok := readNote(x.Text)
+	if !ok {
+		s.n++
+		s.ends = append(s.ends, poll.RunEnd{N: s.n, Task: x.Task, Run: x.No, How: poll.Refused})
+		return
+	}
+	if s.vary != nil {
+		span = s.vary(span)
+	}
+	s.runs = append(s.runs, &work{task: x.Task, no: x.No, span: span, at: now})
+	if s.begun != nil {
+		s.begun(handed, now)
+	}
+}
--- /dev/null
+++ b/yard/scale/runner_test.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"testing"
+
+	"orchidward/agent"
+	"orchidward/ids"
+	"orchidward/poll"
+)
+
+func startOf(num int, span ids.Span) (s poll.Start) {
+	return poll.Start{Task: ids.Ref{Job: "q/00000000000000a1.0", Num: num}, No: 1, Text: note(span, 40)}
+}
+
+// TestStandIn: a run begins on order and once, shows how far it is, ends well
+// after its span, and its end is told until it was observed.
+func TestStandIn(t *testing.T) {
+	var handed, began ids.Mono
+	count := 0
+	s := &standIn{inc: "a", begun: func(h, at ids.Mono) { handed, began, count = h, at, count+1 }}
+	if !s.due(0) {
+		t.Fatal("no first beat")
+	}
+	if b := s.beat(0); b.Seq != 1 || b.Runner != "a" || b.Pool != pool || len(b.Active) > 0 {
+		t.Errorf("first beat %+v", b)
+	}
+	o := agent.Orders{Hold: 6000, Retry: 100, Start: []poll.Start{startOf(0, 1000)}}
+	s.obey(o, 0, 50)
+	s.obey(o, 0, 60)
+	if count != 1 || handed != 40 || began != 50 {
+		t.Errorf("%d starts, handed in %d, begun %d", count, handed, began)
+	}
+	if s.due(99) || !s.due(100) {
+		t.Error("does not beat every 100 ms")
+	}
+	if b := s.beat(550); len(b.Active) != 1 || b.Active[0].Percent != 50 || b.Active[0].Run != 1 {
+		t.Errorf("half way: %+v", b.Active)
+	}
+	s.due(1049)
+	if len(s.runs) != 1 {
+		t.Error("ended before its span was over")
+	}
+	s.due(1050)
+	for range 2 {
+		b := s.beat(1100)
+		if len(b.Active) != 0 || len(b.Finished) != 1 || b.Finished[0].How != poll.Well || b.Finished[0].N != 1 {
+			t.Fatalf("after its span: %+v", b)
+		}
+		s.obey(agent.Orders{Hold: 6000, Retry: 100}, 1100, 1100)
+	}
+	s.obey(agent.Orders{Hold: 6000, Retry: 100, Observed: 1}, 1200, 1200)
+	if b := s.beat(1300); len(b.Finished) != 0 {
+		t.Errorf("an observed end is told again: %+v", b.Finished)
+	}
+}
+
+// TestStandInEnds: on order, past the hold, and what bears no note.
+func TestStandInEnds(t *testing.T) {
+	s := &standIn{}
+	bad := startOf(2, 1000)
+	bad.Text = "x"
+	s.obey(agent.Orders{Hold: 1000, Start: []poll.Start{startOf(0, 9000), startOf(1, 9000), bad}}, 0, 0)
+	s.obey(agent.Orders{Hold: 1000, Stop: []poll.RunStop{{Task: startOf(0, 1).Task, Run: 1}}}, 100, 100)
+	s.due(249)
+	if len(s.runs) != 2 {
+		t.Errorf("%d runs before the stop took hold", len(s.runs))
+	}
+	s.due(250)
+	s.due(1100)
+	if len(s.runs) != 1 {
+		t.Errorf("%d runs under the hold", len(s.runs))
+	}
+	s.due(1101)
+	if s.lapses != 1 {
+		t.Errorf("%d lapses counted", s.lapses)
+	}
+	want := []string{poll.Refused, poll.Stopped, poll.Lapsed}
+	b := s.beat(1101)
+	if len(b.Finished) != len(want) || len(b.Active) != 0 {
+		t.Fatalf("ends %+v", b.Finished)
+	}
+	for i, e := range b.Finished {
+		if e.How != want[i] || e.N != uint64(i+1) {
+			t.Errorf("end %d: %+v, want %s", i, e, want[i])
+		}
+	}
+}
+
+// TestStandInVaries: the percentage and the end go by how long a run really takes.
+func TestStandInVaries(t *testing.T) {
+	s := &standIn{vary: func(span ids.Span) (real ids.Span) { return span * 2 }}
+	s.obey(agent.Orders{Hold: 6000, Start: []poll.Start{startOf(0, 1000)}}, 0, 0)
+	s.due(1999)
+	if b := s.beat(1000); len(b.Active) != 1 || b.Active[0].Percent != 50 {
+		t.Errorf("%+v", b.Active)
+	}
+	if s.due(2000); len(s.runs) != 0 {
+		t.Error("did not end")
+	}
+}
+
+// TestAgentAndStandIn: behind a real agent that was never in touch the runner
+// gets no hold, and so begins nothing.
+func TestAgentAndStandIn(t *testing.T) {
+	s := &standIn{inc: "a", domain: "n", rack: "r"}
+	m := agent.New(agent.Boot{Name: "a", Addr: "x", Domain: "n", Seeds: []string{"k"}, Seed: 1, HoldMost: 6000, Pace: 100}, 0)
+	o := m.Beat(s.beat(0), 0)
+	s.obey(o, 0, 0)
+	if o.Hold != 0 || s.until != 0 || s.next != 100 || len(m.Take().Sends) != 1 {
+		t.Errorf("orders %+v, until %d, next %d", o, s.until, s.next)
+	}
+}
