--- /dev/null
+++ b/agent/machine_test.go
@@ -0,0 +1,126 @@
+package agent
+
+import (
+	"encoding/json"
+	"testing"
+
+	"orchidward/ids"
+	"orchidward/job"
+	"orchidward/poll"
+	"orchidward/raft"
+	"orchidward/wire"
+)
+
+func begin() (m *Machine) {
+	return New(Boot{Name: "m", Addr: "me", Domain: "d", Seeds: []string{"k1", "k2"}, Seed: 100, HoldMost: 6000, Pace: 100}, 0)
+}
+
+func beat(seq uint64, tasks ...string) (b Beat) {
+	b = Beat{Runner: "i-1", Seq: seq, Pool: "p", Domain: "d", Rack: "k", Cap: job.Demand{Milli: 1000, Mem: 10}}
+	for _, t := range tasks {
+		b.Active = append(b.Active, poll.RunState{Task: ids.Ref{Job: ids.Key(t)}, Run: 1})
+	}
+	return b
+}
+
+// asked is the one poll that went out.
+func asked(t *testing.T, m *Machine) (to wire.Peer, a *wire.Ask) {
+	t.Helper()
+	for _, s := range m.Take().Sends {
+		if s.Msg.Ask != nil {
+			to, a = s.To, s.Msg.Ask
+		}
+	}
+	if a == nil {
+		t.Fatal("no poll went out")
+	}
+	return to, a
+}
+
+func answer(id uint64, a poll.Answer) (msg wire.Msg) {
+	a.GrantMs, a.StartMs = 5000, 1000
+	text, err := json.Marshal(a)
+	if err != nil {
+		panic(err)
+	}
+	return wire.Msg{Reply: &wire.Reply{ID: id, Status: 200, Body: text}}
+}
+
+// TestReplacedPoll: news replaces an open poll; the answer to the one replaced
+// orders nothing, but the work is held from when that one was sent.
+func TestReplacedPoll(t *testing.T) {
+	m := begin()
+	m.Beat(beat(1), 1000)
+	_, first := asked(t, m)
+	m.Beat(beat(2, "q/a.0"), 1100)
+	_, second := asked(t, m)
+	if first.ID == second.ID {
+		t.Fatal("news did not replace the poll")
+	}
+	m.Frame("k1", answer(first.ID, poll.Answer{Starts: []poll.Start{{Task: ids.Ref{Job: "q/b.0"}, No: 1}}}), 1200)
+	o := m.Beat(beat(3, "q/a.0"), 1300)
+	if o.Hold != 4700 || len(o.Start) > 0 {
+		t.Errorf("held for %d, %d starts; want 4700 and none", o.Hold, len(o.Start))
+	}
+	m.Frame("k1", answer(first.ID, poll.Answer{}), 1400)
+	if o = m.Beat(beat(4, "q/a.0"), 2300); o.Hold != 3700 {
+		t.Errorf("an answer counted twice: held for %d", o.Hold)
+	}
+}
+
+// TestStartExpires: a start that no heartbeat fetched within its time is never
+// handed over, nor one for a runner that has begun to drain or another life.
+func TestStartExpires(t *testing.T) {
+	for name, next := range map[string]func(m *Machine) Orders{
+		"late":     func(m *Machine) Orders { m.Tick(2001); return m.Beat(beat(2), 2002) },
+		"draining": func(m *Machine) Orders { b := beat(2); b.Draining = true; return m.Beat(b, 1200) },
+		"new life": func(m *Machine) Orders { b := beat(1); b.Runner = "i-2"; return m.Beat(b, 1200) },
+		"":         func(m *Machine) Orders { return m.Beat(beat(2), 1200) },
+	} {
+		m := begin()
+		m.Beat(beat(1), 1000)
+		_, a := asked(t, m)
+		m.Frame("k1", answer(a.ID, poll.Answer{Starts: []poll.Start{{Task: ids.Ref{Job: "q/b.0"}, No: 1}}}), 1100)
+		if o := next(m); (len(o.Start) == 1) != (name == "") {
+			t.Errorf("%q: %d starts", name, len(o.Start))
+		}
+	}
+}
+
+// TestOldBeats: a heartbeat that comes late, or of a life that is over, changes
+// nothing and is ordered nothing.
+func TestOldBeats(t *testing.T) {
+	m := begin()
+	m.Beat(beat(5, "q/a.0"), 1000)
+	_, a := asked(t, m)
+	m.Frame("k1", answer(a.ID, poll.Answer{Halts: []poll.RunStop{{Task: ids.Ref{Job: "q/a.0"}, Run: 1}}}), 1010)
+	if o := m.Beat(beat(4), 1100); len(o.Stop) > 0 || o.Hold > 0 {
+		t.Errorf("a late heartbeat was answered %+v", o)
+	}
+	if o := m.Beat(beat(6, "q/a.0"), 1200); len(o.Stop) != 1 {
+		t.Errorf("the stop is gone: %+v", o)
+	}
+	b := beat(1)
+	b.Runner = "i-2"
+	m.Beat(b, 1300)
+	if o := m.Beat(beat(7, "q/a.0"), 1400); o.Hold > 0 || len(o.Start)+len(o.Stop) > 0 {
+		t.Errorf("a life that is over was answered %+v", o)
+	}
+}
+
+// TestNewLeader: a leader that says so is polled at once, whoever was before.
+func TestNewLeader(t *testing.T) {
+	m := begin()
+	m.Beat(beat(1), 1000)
+	if to, _ := asked(t, m); to == "k9" {
+		t.Fatal("who told it of k9")
+	}
+	m.Frame("k9", wire.Msg{Tell: &wire.Tell{Role: "keeper", Node: 9, Lead: 9, Addr: "k9", Members: []raft.Member{{ID: 9, Addr: "k9"}, {ID: 2, Addr: "k2"}}}}, 1050)
+	if to, _ := asked(t, m); to != "k9" {
+		t.Errorf("polls %s", to)
+	}
+	m.Frame("k2", wire.Msg{Tell: &wire.Tell{Role: "keeper", Node: 2, Lead: 9, Addr: "k2"}}, 1060)
+	if n := len(m.Take().Sends); n > 0 {
+		t.Error("a keeper that only knows the leader was followed")
+	}
+}
--- /dev/null
+++ b/book/queue_test.go
@@ -0,0 +1,303 @@
+package book
+
+import (
+	"fmt"
+	"testing"
+
+	"orchidward/catalog"
+	"orchidward/ids"
+	"orchidward/job"
+)
+
+// newQueues is a book with a catalogue, and four runners of its pool besides
+// one of another and the rows' own.
+func newQueues(t *testing.T) (d *desk) {
+	d = newDesk(t, `{"a.weight":1}`)
+	d.b.Level = CatalogLevel
+	d.must(200, &Cmd{At: 2000, Catalog: &catalog.Change{Version: 3, Whole: true, Sum: "one",
+		Queues: []catalog.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "x", Tries: 2, Stretch: 2000, SetPoint: 1000, Cutoff: 3000}},
+		Pools:  []catalog.Pool{{Name: "x"}, {Name: "y"}}}})
+	for i := 5; i <= 9; i++ {
+		r := d.report(i, "a", false, 0)
+		r.Pool = "x"
+		if i == 9 {
+			r.Pool = "y"
+		}
+		d.must(200, &Cmd{Report: r})
+	}
+	return d
+}
+
+func (d *desk) queue(key ids.Key, spec job.Spec) {
+	d.Helper()
+	spec.Queue = "q"
+	for i := range spec.Steps {
+		spec.Steps[i].Defects, spec.Steps[i].Name = 1, fmt.Sprint("s", i)
+		if spec.Steps[i].Demand == (job.Demand{}) {
+			spec.Steps[i].Demand = job.Demand{Milli: 1500, Mem: 10}
+		}
+		if spec.Steps[i].Run == 0 {
+			spec.Steps[i].Run = 1000
+		}
+	}
+	d.must(201, &Cmd{Submit: &Submit{Key: key, Spec: spec}})
+}
+
+func (d *desk) open(key ids.Key) (n int) {
+	for _, g := range d.b.Grants {
+		if g.Ref.Job == key {
+			n++
+		}
+	}
+	return n
+}
+
+// TestQueueRoute: only runners of the queue's pool, and at most so many tasks of
+// a step on one of them, whatever a planner asks for.
+func TestQueueRoute(t *testing.T) {
+	d := newQueues(t)
+	d.queue("q/j", job.Spec{Steps: []job.Step{{Tasks: 6, Apart: 2}}})
+	for _, on := range []ids.Runner{"r1", "r9"} {
+		d.place("q/j", 0, []int{0}, on)
+	}
+	if n := d.open("q/j"); n != 0 {
+		t.Errorf("%d placed outside the pool", n)
+	}
+	d.place("q/j", 0, []int{0, 1, 2}, "r5", "r5", "r5")
+	if n := d.open("q/j"); n != 0 {
+		t.Errorf("%d placed, three of them beside one another", n)
+	}
+	d.place("q/j", 0, []int{0, 1}, "r5", "r5")
+	d.place("q/j", 0, []int{2}, "r5")
+	if n := d.open("q/j"); n != 2 {
+		t.Errorf("%d on a runner that may hold two", n)
+	}
+	d.hand("a/j", "a", job.Step{Name: "s", Tasks: 1, Demand: job.Demand{Cores: 1, Mem: 1}, Run: 1})
+	d.place("a/j", 0, []int{0}, "r5")
+	if n := d.open("a/j"); n != 0 {
+		t.Error("a row's work went to a pool of the catalogue")
+	}
+}
+
+// TestQueueBudget: a task starts until so many of its runs have failed, by its
+// queue's terms; other ends cost nothing, and a gang's failures count by run,
+// whoever tells of them.
+func TestQueueBudget(t *testing.T) {
+	d := newQueues(t)
+	d.queue("q/j", job.Spec{Steps: []job.Step{{Tasks: 1}}})
+	ref := ids.Ref{Job: "q/j"}
+	for i, how := range []How{EndDefect, EndStopped, EndLapsed, EndRefused, EndAlone, EndBroken} {
+		d.place("q/j", 0, []int{0}, "r5")
+		g := d.b.Jobs["q/j"].Task(ref).Grant
+		if no := d.b.Grants[g].No; no != uint64(i+1) {
+			t.Errorf("run %d is numbered %d", i+1, no)
+		}
+		d.end("r5", "a", g, ref, how)
+	}
+	d.state("q/j", "waiting")
+	d.place("q/j", 0, []int{0}, "r5")
+	d.end("r5", "a", d.b.Jobs["q/j"].Task(ref).Grant, ref, EndDefect)
+	d.state("q/j", "failed")
+	d.place("q/j", 0, []int{0}, "r5")
+	if d.open("q/j") > 0 {
+		t.Error("started past its failures")
+	}
+
+	d.queue("q/g", job.Spec{Steps: []job.Step{{Tasks: 2, Gang: true}}})
+	for run := 1; run <= 2; run++ {
+		d.place("q/g", 0, []int{0, 1}, "r5", "r6")
+		j := d.b.Jobs["q/g"]
+		a, b := j.Steps[0][0].Grant, j.Steps[0][1].Grant
+		if d.b.Grants[a].No != uint64(run) || d.b.Grants[b].No != uint64(run) {
+			t.Errorf("members of run %d are numbered %d and %d", run, d.b.Grants[a].No, d.b.Grants[b].No)
+		}
+		d.end("r5", "a", a, ids.Ref{Job: "q/g"}, EndDefect)
+		d.end("r6", "a", b, ids.Ref{Job: "q/g", Num: 1}, EndDefect)
+		if run == 1 && j.Fail != "" {
+			t.Error("one failed run of a gang counted twice")
+		}
+	}
+	d.state("q/g", "failed")
+}
+
+// TestGangEndsAsOne: the first member to end well ends it for all; the job is
+// over once all have told of their ends.
+func TestGangEndsAsOne(t *testing.T) {
+	d := newQueues(t)
+	d.queue("q/g", job.Spec{Steps: []job.Step{{Tasks: 2, Gang: true}, {Tasks: 1, After: []string{"s0"}}}})
+	d.place("q/g", 1, []int{0}, "r5")
+	d.place("q/g", 0, []int{0, 1}, "r5", "r6")
+	j := d.b.Jobs["q/g"]
+	if d.open("q/g") != 2 {
+		t.Fatalf("%d open, want the gang alone", d.open("q/g"))
+	}
+	b := j.Steps[0][1].Grant
+	d.end("r5", "a", j.Steps[0][0].Grant, ids.Ref{Job: "q/g"}, EndWell)
+	if !j.Met(1) {
+		t.Error("a gang that ended well holds up what comes after it")
+	}
+	d.end("r6", "a", b, ids.Ref{Job: "q/g", Num: 1}, EndBroken)
+	if s := j.Steps[0][1].State; s != Well {
+		t.Errorf("the other member is %s", s)
+	}
+	d.place("q/g", 1, []int{0}, "r5")
+	d.end("r5", "a", j.Steps[1][0].Grant, ids.Ref{Job: "q/g", Step: 1}, EndWell)
+	d.state("q/g", "well")
+}
+
+// TestTimes: a repeated job costs one record until a time is due; times may
+// overlap, none begins early, the job ends with its last one, and cancelling
+// ends them all and begins no more.
+func TestTimes(t *testing.T) {
+	d := newQueues(t)
+	d.queue("q/r", job.Spec{Repeat: &job.Repeat{Times: 3, First: 10000, Every: 1000}, Steps: []job.Step{{Tasks: 1}}})
+	d.queue("q/c", job.Spec{Repeat: &job.Repeat{Times: 100000, First: 10000, Every: 1000}, Steps: []job.Step{{Tasks: 1}}})
+	if n := len(d.b.Jobs); n != 2 {
+		t.Errorf("%d jobs before any time is due", n)
+	}
+	d.b.Apply(&Cmd{At: 9999})
+	d.state("q/r", "waiting")
+	if at, ok := d.b.NextStart(); !ok || at != 10000 {
+		t.Errorf("next start at %d %v", at, ok)
+	}
+	d.b.Apply(&Cmd{At: 11500})
+	d.state("q/r", "running")
+	if d.b.Jobs["q/r.0"] == nil || d.b.Jobs["q/r.1"] == nil || d.b.Jobs["q/r.2"] != nil {
+		t.Error("at 11.5 s times 0 and 1 are to be there, and 2 is not")
+	}
+	if due := d.b.Jobs["q/r.1"].Terms.Due; due != 11000+2*1000+1000 {
+		t.Errorf("time 1 is due at %d", due)
+	}
+	back, err := Decode(d.b.Encode())
+	if err != nil || back.Queued("q") != 2 || back.Jobs["q/r"].kids != 2 {
+		t.Errorf("read back: %v, %d queued", err, back.Queued("q"))
+	}
+	d.must(200, &Cmd{Cancel: &Cancel{Key: "q/c"}})
+	d.b.Apply(&Cmd{At: 60000})
+	d.state("q/c", "cancelled")
+	if d.b.Jobs["q/c.2"] != nil {
+		t.Error("a time began after the cancel")
+	}
+	for k := 0; k < 3; k++ {
+		key := ids.Key(fmt.Sprintf("q/r.%d", k))
+		d.state("q/r", "running")
+		d.place(key, 0, []int{0}, "r5")
+		d.end("r5", "a", d.b.Jobs[key].Steps[0][0].Grant, ids.Ref{Job: key}, EndWell)
+	}
+	d.state("q/r", "well")
+	if n := d.b.Queued("q"); n != 0 {
+		t.Errorf("%d jobs are left in the queue", n)
+	}
+	if r := d.b.Apply(&Cmd{Submit: &Submit{Key: "q/z.1", Spec: job.Spec{Queue: "q", Steps: []job.Step{{Name: "s", Tasks: 1}}}}}); r.Status != 422 {
+		t.Errorf("a job named as a time of another got %d", r.Status)
+	}
+}
+
+// TestLasting: a lasting task begins again however it ends, for as long as its
+// job is not cancelled.
+func TestLasting(t *testing.T) {
+	d := newQueues(t)
+	d.queue("q/l", job.Spec{Steps: []job.Step{{Tasks: 1, Lasting: true}}})
+	for _, how := range []How{EndDefect, EndDefect, EndDefect, EndWell, EndLapsed} {
+		d.place("q/l", 0, []int{0}, "r5")
+		d.end("r5", "a", d.b.Jobs["q/l"].Steps[0][0].Grant, ids.Ref{Job: "q/l"}, how)
+		if s := d.b.Jobs["q/l"].Steps[0][0].State; s != Waiting {
+			t.Fatalf("after %s it is %s", how, s)
+		}
+	}
+	d.must(200, &Cmd{Cancel: &Cancel{Key: "q/l"}})
+	d.state("q/l", "cancelled")
+}
+
+// TestSaved: progress told at an end, or last told of a runner that is lost, is
+// brought along by the next run of the same task, and of its gang; never by
+// another task's.
+func TestSaved(t *testing.T) {
+	d := newQueues(t)
+	d.queue("q/s", job.Spec{Steps: []job.Step{{Tasks: 2, Saves: true}, {Tasks: 2, Saves: true, Gang: true}, {Tasks: 1}}})
+	j := d.b.Jobs["q/s"]
+	d.place("q/s", 0, []int{0}, "r5")
+	d.must(0, &Cmd{Ends: &Ends{Runner: "r5", Inc: "a", List: []End{{Grant: j.Steps[0][0].Grant, Ref: ids.Ref{Job: "q/s"}, How: EndStopped, Saved: "half"}}}})
+	if j.Steps[0][0].Saved != "half" || j.Steps[0][1].Saved != "" {
+		t.Errorf("saved %q and %q", j.Steps[0][0].Saved, j.Steps[0][1].Saved)
+	}
+	d.place("q/s", 1, []int{0, 1}, "r5", "r6")
+	d.must(0, &Cmd{Lost: &Lost{Runner: "r6", Inc: "a", Saves: []Save{{Grant: j.Steps[1][1].Grant, Saved: "third"}}}})
+	if j.Steps[1][0].Saved != "third" || j.Steps[1][1].Saved != "third" {
+		t.Errorf("the gang has %q and %q", j.Steps[1][0].Saved, j.Steps[1][1].Saved)
+	}
+	d.place("q/s", 2, []int{0}, "r7")
+	d.must(0, &Cmd{Ends: &Ends{Runner: "r7", Inc: "a", List: []End{{Grant: j.Steps[2][0].Grant, Ref: ids.Ref{Job: "q/s", Step: 2}, How: EndStopped, Saved: "odd"}}}})
+	if j.Steps[2][0].Saved != "" {
+		t.Error("progress is kept for a step that saves none")
+	}
+}
+
+// TestLateWordOfARun: a run counted lost ends well after all, while another of
+// the same task is under way: that one is called back, and the task is done.
+func TestLateWordOfARun(t *testing.T) {
+	d := newQueues(t)
+	d.queue("q/w", job.Spec{Steps: []job.Step{{Tasks: 1}}})
+	j, ref := d.b.Jobs["q/w"], ids.Ref{Job: "q/w"}
+	d.place("q/w", 0, []int{0}, "r5")
+	first := j.Steps[0][0].Grant
+	d.must(0, &Cmd{Lost: &Lost{Runner: "r5", Inc: "a"}})
+	d.place("q/w", 0, []int{0}, "r6")
+	if id, _, ok := d.b.Resolve("r5", "a", ids.Ref{Job: "q/w.0"}, 1); !ok || id != first {
+		t.Errorf("run 1 is grant %d %v, want %d", id, ok, first)
+	}
+	if !d.b.Hears("r5", "a", first, ref) {
+		t.Error("the late end is no news")
+	}
+	second := j.Steps[0][0].Grant
+	d.end("r5", "a", first, ref, EndWell)
+	if g := d.b.Grants[second]; g == nil || g.Stop != StopDone {
+		t.Errorf("the other run: %+v", g)
+	}
+	d.state("q/w", "running")
+	d.end("r6", "a", second, ref, EndStopped)
+	d.state("q/w", "well")
+}
+
+// TestCatalogRace: of two changes on one version only one is taken; the same one
+// again is known, whatever came after it; what is invalid changes nothing.
+func TestCatalogRace(t *testing.T) {
+	d := newQueues(t)
+	change := func(base, version uint64, sum string) (c *catalog.Change) {
+		return &catalog.Change{Base: base, Version: version, Sum: sum, Queues: []catalog.Queue{{Name: sum, Host: "h", Prefix: "/" + sum, Pool: "x", Cutoff: 1}}}
+	}
+	d.must(200, &Cmd{Catalog: change(3, 7, "a")})
+	d.must(412, &Cmd{Catalog: change(3, 9, "b")})
+	d.must(200, &Cmd{Catalog: change(7, 8, "c")})
+	d.must(200, &Cmd{Catalog: change(3, 7, "a")})
+	d.must(412, &Cmd{Catalog: change(3, 7, "other")})
+	d.must(422, &Cmd{Catalog: change(8, 8, "d")})
+	bad := change(8, 12, "e")
+	bad.Queues[0].Pool = "nowhere"
+	d.must(422, &Cmd{Catalog: bad})
+	same := change(8, 12, "f")
+	same.Queues[0].Prefix = "/a"
+	d.must(422, &Cmd{Catalog: same})
+	if c := d.b.Catalog; c.Version != 8 || len(c.Queues) != 3 || c.Queue("b") != nil || c.Queue("e") != nil {
+		t.Errorf("in force: %+v", c)
+	}
+}
+
+// TestChain: work pushed out by displaced work of a dearer kind may push in its
+// turn, as long as the closing lasts.
+func TestChain(t *testing.T) {
+	d := newDesk(t, `{"a.onOutage":"push","a.weight":1}`)
+	d.b.Level = CatalogLevel
+	d.hand("a/x", "a", job.Step{Name: "s", Tasks: 1, Demand: job.Demand{Cores: 1, Mem: 1}, Run: 1})
+	d.place("a/x", 0, []int{0}, "r1")
+	d.must(200, &Cmd{Close: &Close{Domain: "north"}})
+	for _, c := range d.b.Closings {
+		c.Judged, c.Fits = true, false
+	}
+	g := d.b.Jobs["a/x"].Steps[0][0].Grant
+	d.must(0, &Cmd{Recall: &Recall{Grants: []ids.Grant{g}, Why: StopPush}})
+	d.end("r1", "a", g, ids.Ref{Job: "a/x"}, EndStopped)
+	if c := d.b.Jobs["a/x"].Steps[0][0].Closing; c == "" {
+		t.Error("what was pushed out has lost its right to push")
+	}
+}
--- /dev/null
+++ b/plan/queue_test.go
@@ -0,0 +1,132 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+
+	"orchidward/book"
+	"orchidward/catalog"
+	"orchidward/ids"
+	"orchidward/job"
+	"orchidward/policy"
+)
+
+func queues(t *testing.T, runners int) (b *book.Book) {
+	b = book.New()
+	b.Level = book.CatalogLevel
+	c := &catalog.Change{Version: 1, Whole: true, Sum: "x", Pools: []catalog.Pool{{Name: "p"}}}
+	for rank := int64(0); rank < 3; rank++ {
+		c.Queues = append(c.Queues, catalog.Queue{Name: fmt.Sprint("q", rank), Host: "h", Prefix: fmt.Sprintf("/%d/", rank), Pool: "p", Rank: rank, Tries: 3, Stretch: 2000, SetPoint: 1000, Cutoff: 1})
+	}
+	if r := b.Apply(&book.Cmd{At: 1, Catalog: c}); !r.OK() {
+		t.Fatal(r)
+	}
+	for i := 0; i < runners; i++ {
+		b.Apply(&book.Cmd{Report: &book.Report{Runner: ids.Runner(fmt.Sprintf("r%02d", i)), Inc: "a", Pool: "p", Cap: job.Demand{Milli: 8000, Mem: 8000},
+			Domain: "d", Rack: ids.Rack(fmt.Sprint("k", i/3))}})
+	}
+	return b
+}
+
+func submit(t *testing.T, b *book.Book, id, queue string, at ids.Millis, s job.Step) {
+	t.Helper()
+	s.Defects, s.Name = 1, "s"
+	if s.Run == 0 {
+		s.Run = 1000
+	}
+	if r := b.Apply(&book.Cmd{At: at, Submit: &book.Submit{Key: ids.Key("q/" + id), Spec: job.Spec{Queue: queue, Steps: []job.Step{s}}}}); !r.OK() {
+		t.Fatal(r)
+	}
+}
+
+// TestHope: with room for one, what can still be in time goes before what is
+// late, whatever its rank; among equals rank, then the sooner due.
+func TestHope(t *testing.T) {
+	whole := job.Demand{Milli: 8000, Mem: 1}
+	b := queues(t, 1)
+	submit(t, b, "late", "q0", 1000, job.Step{Tasks: 1, Demand: whole})
+	submit(t, b, "second", "q2", 60000, job.Step{Tasks: 1, Demand: whole})
+	submit(t, b, "first", "q1", 60001, job.Step{Tasks: 1, Demand: whole})
+	for _, want := range []ids.Key{"q/first", "q/second", "q/late"} {
+		out := place(b)
+		if len(out.Puts) != 1 || out.Puts[0].Job != want {
+			t.Fatalf("want %s, placed %+v", want, out.Puts)
+		}
+		endAll(b, func(*book.Grant) bool { return false })
+	}
+}
+
+// TestRacks: a gang that wants one rack gets one that has room for all of it; a
+// task goes near its data while there is room, and elsewhere when there isn't.
+func TestRacks(t *testing.T) {
+	b := queues(t, 6)
+	submit(t, b, "g", "q0", 10, job.Step{Tasks: 5, Gang: true, OneRack: true, Demand: job.Demand{Milli: 4000, Mem: 1}})
+	out := place(b)
+	racks := map[ids.Rack]bool{}
+	for _, on := range out.Puts[0].On {
+		racks[b.Runners[on].Rack] = true
+	}
+	if len(out.Puts) != 1 || len(racks) != 1 {
+		t.Errorf("the gang stands in %v", racks)
+	}
+	b = queues(t, 6)
+	submit(t, b, "n", "q0", 10, job.Step{Tasks: 4, Near: "k1", Demand: job.Demand{Milli: 8000, Mem: 1}})
+	out = place(b)
+	near := 0
+	for _, p := range out.Puts {
+		if b.Runners[p.On[0]].Rack == "k1" {
+			near++
+		}
+	}
+	if len(out.Puts) != 4 || near != 3 {
+		t.Errorf("%d placed, %d near their data, want 4 and 3", len(out.Puts), near)
+	}
+}
+
+// TestPace: a runner on which work goes slowly comes last, and one that may not
+// be given work gets none.
+func TestPace(t *testing.T) {
+	b := queues(t, 3)
+	submit(t, b, "j", "q0", 10, job.Step{Tasks: 3, Demand: job.Demand{Milli: 4000, Mem: 1}})
+	out := RoundWith(b, View{Fresh: func(n ids.Runner) bool { return n != "r01" }, Pace: func(n ids.Runner) int64 {
+		if n == "r00" {
+			return 200
+		}
+		return 1000
+	}}, policy.NewShelf())
+	on := map[ids.Runner]int{}
+	for _, p := range out.Puts {
+		on[p.On[0]]++
+	}
+	if on["r00"] != 1 || on["r01"] != 0 || on["r02"] != 2 {
+		t.Errorf("placed on %v", on)
+	}
+}
+
+// TestQueueRoundsAreSound: random work with every wish a step can have; whatever
+// a round proposes, the book takes it all.
+func TestQueueRoundsAreSound(t *testing.T) {
+	for seed := 0; seed < 20; seed++ {
+		b := queues(t, 7)
+		n := uint32(seed*7919 + 1)
+		rnd := func(k uint32) int64 { n = n*1664525 + 1013904223; return int64(n >> 8 % k) }
+		for i := 0; i < 40; i++ {
+			submit(t, b, fmt.Sprint("j", i), fmt.Sprint("q", rnd(3)), ids.Millis(10+i), job.Step{Tasks: 1 + rnd(9), Gang: rnd(3) == 0, OneRack: rnd(2) == 0,
+				Apart: rnd(3), Near: ids.Rack(fmt.Sprint("k", rnd(4))), Demand: job.Demand{Milli: 100 + rnd(4000), Mem: 1 + rnd(3000)}})
+			if i%3 != 0 {
+				continue
+			}
+			out := look(b)
+			want := 0
+			for _, p := range out.Puts {
+				want += len(p.Nums)
+			}
+			was := len(b.Grants)
+			b.Apply(&book.Cmd{Place: &book.Place{Puts: out.Puts}})
+			if have := len(b.Grants) - was; have != want {
+				t.Fatalf("seed %d: %d proposed, %d taken", seed, want, have)
+			}
+			endAll(b, func(g *book.Grant) bool { return rnd(2) == 0 })
+		}
+	}
+}
