--- a/agent/machine.go
+++ b/agent/machine.go
@@ -45,7 +45,11 @@
 	grant   ids.Span
 	wait    ids.Span
 	fence   uint64
-	odd     int
+	// greeting is the number of the last question for a fence, greeted when it
+	// was asked.
+	greeting uint64
+	greeted  ids.Mono
+	odd      int
 }
 
 // run names an attempt.
@@ -77,6 +81,7 @@
 	seekWait  = 300
 	lostAfter = 2000
 	askedKept = 5000
+	greetGap  = 200
 	// A runner is dead once it has been silent for deadSilence and its hold has
 	// been over for deadSlack.
 	deadSilence = 1000
@@ -290,6 +295,7 @@
 
 func (m *Machine) Tick(now ids.Mono) {
 	m.now = max(m.now, now)
+	m.greet()
 	for r, o := range m.queue {
 		if m.now > o.until {
 			delete(m.queue, r)
@@ -316,6 +322,30 @@
 	return m.wait
 }
 
+// Fence is the highest fence this agent knows of, 0 for none.
+func (m *Machine) Fence() (fence uint64) { return m.fence }
+
+// greet asks the core for its fence before there is a heartbeat to tell of: a
+// runner that obeyed a former process takes nothing from a lower one.
+func (m *Machine) greet() {
+	if m.beat != nil || m.fence > 0 || len(m.keepers) == 0 || m.now < m.greeted.Add(greetGap) {
+		return
+	}
+	m.greeted = m.now
+	m.seq++
+	m.greeting = m.seq
+	m.out.Sends = append(m.out.Sends, wire.Send{To: wire.Peer(m.keepers[m.at%len(m.keepers)]), Msg: wire.Msg{Ask: &wire.Ask{ID: m.seq, Verb: "GET", Path: "/v1/fence", Budget: greetGap}}})
+	m.at++
+}
+
+// welcome takes the fence.
+func (m *Machine) welcome(r *wire.Reply) {
+	var a poll.Answer
+	if !r.Moved && r.Status == 200 && json.Unmarshal(r.Body, &a) == nil {
+		m.fence = max(m.fence, a.Fence)
+	}
+}
+
 func (m *Machine) fail() {
 	m.at++
 	m.back = min(max(50, m.back*2), backMost)
@@ -392,6 +422,10 @@
 	if r == nil {
 		return
 	}
+	if r.ID == m.greeting {
+		m.welcome(r)
+		return
+	}
 	if m.open == nil || r.ID != m.open.seq {
 		m.stale(r)
 		return
--- a/agent/machine_test.go
+++ b/agent/machine_test.go
@@ -124,3 +124,28 @@
 		t.Error("a keeper that only knows the leader was followed")
 	}
 }
+
+// TestGreet: before there is a heartbeat the agent asks the core for its fence,
+// one keeper after another, until one tells.
+func TestGreet(t *testing.T) {
+	m := begin()
+	m.Tick(1000)
+	to, a := asked(t, m)
+	if a.Path != "/v1/fence" {
+		t.Fatalf("asked for %s", a.Path)
+	}
+	m.Frame(to, wire.Msg{Reply: &wire.Reply{ID: a.ID, Status: 503, Moved: true}}, 1010)
+	m.Tick(1400)
+	next, a := asked(t, m)
+	if next == to {
+		t.Error("the same keeper was asked again")
+	}
+	m.Frame(next, answer(a.ID, poll.Answer{Fence: 9}), 1410)
+	if m.Fence() != 9 {
+		t.Errorf("fence %d", m.Fence())
+	}
+	m.Tick(1800)
+	if n := len(m.Take().Sends); n > 0 {
+		t.Error("asked on")
+	}
+}
--- a/agentdesk/desk.go
+++ b/agentdesk/desk.go
@@ -104,6 +104,12 @@
 	return d.errands.Do(ctx, func(m *agent.Machine) { m.Leave(id, d.clock.Now()) })
 }
 
+// Fence is the highest fence the agent knows of, 0 for none.
+func (d *Desk) Fence(ctx context.Context) (fence uint64) {
+	d.errands.Do(ctx, func(m *agent.Machine) { fence = m.Fence() })
+	return fence
+}
+
 // Stop says that the agent is about to end. It comes before the parting from
 // the runner, whose last heartbeats are then answered with the longest hold.
 func (d *Desk) Stop(ctx context.Context) (ok bool) {
--- a/keeper/ask.go
+++ b/keeper/ask.go
@@ -12,6 +12,7 @@
 	"orchidward/doc"
 	"orchidward/ids"
 	"orchidward/job"
+	"orchidward/poll"
 	"orchidward/raft"
 	"orchidward/table"
 	"orchidward/wire"
@@ -100,6 +101,8 @@
 		m.listJobs(c)
 	case kind == "states" && n == 4 && a.Verb == "GET":
 		m.showState(c, ids.MakeKey(ids.Agent(c.parts[2]), ids.JobID(c.parts[3])))
+	case kind == "fence" && n == 2 && a.Verb == "GET":
+		m.replyDoc(from, a.ID, 200, poll.Answer{Fence: uint64(m.term)})
 	case kind == "queues" && n == 3 && a.Verb == "GET":
 		m.showQueue(c, c.parts[2])
 	case kind == "catalog" && n == 2:
