Runs on runners that have turned slow begin again where they are done sooner

Change: agents measure each run's speed over 0.3 s and tell at once when it halves; a runner's rate is that of its runs now; what would be done sooner elsewhere, with what it has saved, is called back if there is room on runners that are well.

--- a/agent/machine.go
+++ b/agent/machine.go
@@ -81,7 +81,10 @@
 	seekWait  = 300
 	lostAfter = 2000
 	askedKept = 5000
-	greetGap  = 200
+	// A run's speed is taken over speedLeast at least, and speedMost at most.
+	speedLeast = 300
+	speedMost  = 800
+	greetGap   = 200
 	// A runner is dead once it has been silent for deadSilence and its hold has
 	// been over for deadSlack.
 	deadSilence = 1000
@@ -226,6 +229,24 @@
 	at      ids.Mono
 	gap     ids.Span
 	told    bool
+	// speed is how far it came lately, in thousandths of the whole a second,
+	// measured from the mark.
+	speed int64
+	mark  int64
+	since ids.Mono
+}
+
+// measure takes the speed once enough has been seen of it; slower tells whether
+// it has fallen by half or more.
+func (s *step) measure(percent int64, now ids.Mono) (slower bool) {
+	span := now.Since(s.since)
+	if percent >= 99 || span < speedLeast || percent-s.mark < 4 && span < speedMost {
+		return false
+	}
+	was := s.speed
+	s.speed = max(1, (percent-s.mark)*10_000/int64(span))
+	s.mark, s.since = percent, now
+	return was > 0 && s.speed*2 < was
 }
 
 // late tells whether a run has stood still for far longer than it used to.
@@ -240,13 +261,16 @@
 		s, ok := was[r]
 		switch {
 		case !ok:
-			s = step{percent: a.Percent, at: m.now}
+			s = step{percent: a.Percent, at: m.now, mark: a.Percent, since: m.now}
 		case s.percent != a.Percent:
-			s = step{percent: a.Percent, at: m.now, gap: m.now.Since(s.at)}
+			s.percent, s.gap, s.at, s.told = a.Percent, m.now.Since(s.at), m.now, false
 		case !s.told && s.late(m.now):
 			s.told = true
 			m.news = true
 		}
+		if s.measure(a.Percent, m.now) {
+			m.news = true
+		}
 		m.moved[r] = s
 	}
 }
@@ -392,9 +416,11 @@
 		a.Mode, a.Departs = poll.Draining, max(0, b.Departs-m.now.Since(m.beaten))
 	}
 	for _, x := range b.Active {
-		if s := m.moved[run{x.Task, x.Run}]; s.late(m.now) {
+		s := m.moved[run{x.Task, x.Run}]
+		if s.late(m.now) {
 			x.Still = m.now.Since(s.at)
 		}
+		x.Speed = s.speed
 		a.Active = append(a.Active, x)
 	}
 	a.Dead = m.dead()
--- a/book/grant.go
+++ b/book/grant.go
@@ -32,5 +32,6 @@
 	StopPush    = "pushed out"
 	StopSilent  = "gang partner silent"
 	StopStill   = "stands still"
+	StopSlow    = "sooner done elsewhere"
 	StopClosing = "closing "
 )
--- a/book/queue.go
+++ b/book/queue.go
@@ -216,7 +216,7 @@
 		return
 	}
 	b.set(j, g.Ref, Waiting)
-	if g.Stop == StopStill {
+	if g.Stop == StopStill || g.Stop == StopSlow {
 		t.Shun = g.Runner
 	}
 	id, ok := strings.CutPrefix(g.Stop, StopClosing)
--- a/keeper/agents.go
+++ b/keeper/agents.go
@@ -22,8 +22,9 @@
 	paces  map[ids.Grant]*pace
 	// rate is how fast work goes here, in thousandths of what its estimates
 	// say; ill is until when nothing is placed here.
-	rate int64
-	ill  ids.Mono
+	rate  int64
+	rated ids.Mono
+	ill   ids.Mono
 	// old is the last progress of what ran on the former life of the runner.
 	old []book.Save
 }
@@ -93,6 +94,7 @@
 			delete(a.paces, id)
 		}
 	}
+	m.rated(a)
 	for _, one := range p.Finished {
 		id, ref, ok := m.book.Resolve(name, p.Inc, one.Task, one.Run)
 		if !ok {
--- a/keeper/health.go
+++ b/keeper/health.go
@@ -7,6 +7,7 @@
 import (
 	"orchidward/book"
 	"orchidward/ids"
+	"orchidward/job"
 	"orchidward/poll"
 )
 
@@ -17,6 +18,8 @@
 	percent int64
 	at      ids.Mono
 	still   ids.Span
+	// rate is how fast it goes, in thousandths of its estimate; 0 for unknown.
+	rate int64
 }
 
 const (
@@ -26,6 +29,13 @@
 	// restoring is how long a run may take to find its saved progress.
 	restoring = 800
 	illSpan   = 6000
+	// slowRate is the rate under which a runner is slow, in thousandths: below
+	// what a wrong estimate, a far rack and an old machine come to together.
+	slowRate = 350
+	// forgotten is how long a rate counts without new evidence.
+	forgotten = 4000
+	// moveCost is what moving a run takes at the least, and what must be gained.
+	moveCost = 400
 	// mostMoves bounds the runs called back at once.
 	mostMoves = 16
 )
@@ -41,14 +51,32 @@
 		return
 	}
 	p.still = s.Still
-	if s.Percent == p.percent {
-		return
+	if s.Percent != p.percent {
+		p.percent, p.at = s.Percent, m.now
+	}
+	if p.rate = s.Speed * int64(g.Run) / 1000; s.Percent >= whole {
+		p.rate = 0
 	}
-	if span := m.now.Since(p.at); span >= 200 && p.percent > p.from && s.Percent < whole {
-		rate := min((s.Percent-p.percent)*int64(g.Run)*10/int64(span), 3000)
-		a.rate = (a.rate*7 + rate) / 8
+}
+
+// rated takes the rate of a runner from those of its runs that tell one. Members
+// of a gang that stands on several runners go as fast as the slowest of them,
+// and say nothing of their own. Old evidence is forgotten.
+func (m *Machine) rated(a *agentSide) {
+	sum, n := int64(0), int64(0)
+	for id, p := range a.paces {
+		g := m.book.Grants[id]
+		if p.rate > 0 && g != nil && !spread(g, m.book.Partners(g)) {
+			sum += min(p.rate, 2000)
+			n++
+		}
+	}
+	switch {
+	case n > 0:
+		a.rate, a.rated = sum/n, m.now
+	case m.now.Since(a.rated) > forgotten:
+		a.rate = 1000
 	}
-	p.percent, p.at = s.Percent, m.now
 }
 
 // whole is what a run says once it has taken as long as was estimated; past
@@ -93,7 +121,8 @@
 		return
 	}
 	l.looked = m.now
-	var late []ids.Grant
+	var late, slow []ids.Grant
+	room := map[ids.Runner]job.Demand{}
 	for _, n := range m.book.RunnerNames() {
 		c := l.runners[n]
 		if c == nil || c.agent == nil || c.silent > 400 || m.now.Since(c.heard) > 1000 {
@@ -101,7 +130,13 @@
 		}
 		for _, id := range m.book.Runners[n].GrantIDs() {
 			p, g := c.agent.paces[id], m.book.Grants[id]
-			if p == nil || g.Stop != "" || len(late) >= mostMoves || !m.still(c, p, g) {
+			if p == nil || g.Stop != "" || len(late)+len(slow) >= mostMoves {
+				continue
+			}
+			if !m.still(c, p, g) {
+				if m.slower(c, p, g) && m.roomElsewhere(n, g, room) {
+					slow = append(slow, id)
+				}
 				continue
 			}
 			late = append(late, id)
@@ -109,6 +144,11 @@
 			m.event("stands-still", "runner", n, "task", g.Ref, "run", g.No, "percent", p.percent)
 		}
 	}
+	if len(slow) > 0 {
+		sortGrants(slow)
+		m.event("slow", "grants", len(slow))
+		l.moving = m.propose(&book.Cmd{Recall: &book.Recall{Grants: slow, Why: book.StopSlow}})
+	}
 	if never := m.never(); len(never) > 0 {
 		l.moving = m.propose(&book.Cmd{Recall: &book.Recall{Grants: never, Why: book.StopLate}})
 	}
@@ -118,6 +158,47 @@
 	}
 }
 
+// slower tells whether a run on a slow runner would be done sooner if it began
+// elsewhere, with what progress is saved.
+func (m *Machine) slower(c *contact, p *pace, g *book.Grant) (yes bool) {
+	st := m.book.Jobs[g.Ref.Job].Spec.Steps[g.Ref.Step]
+	if c.agent.rate >= slowRate || p.rate == 0 || p.rate >= slowRate || st.Lasting || p.percent >= whole {
+		return false
+	}
+	left := g.Run * ids.Span(100-p.percent) / 100
+	here, there := left*1000/ids.Span(p.rate), g.Run
+	if st.Saves {
+		there = min(there, left+restoring)
+	}
+	return here > there+there/4+moveCost
+}
+
+// roomElsewhere takes room for a run, or for its whole gang, on other runners of
+// the pool that are well; room is what was taken before.
+func (m *Machine) roomElsewhere(from ids.Runner, g *book.Grant, room map[ids.Runner]job.Demand) (ok bool) {
+	need := 1 + len(m.book.Partners(g))
+	pool := m.book.Runners[from].Pool
+	var at []ids.Runner
+	for _, n := range m.book.RunnerNames() {
+		r, c := m.book.Runners[n], m.lead.runners[n]
+		if n == from || r.Pool != pool || r.Gone || r.Fence() != "" || c == nil || c.agent == nil || c.agent.rate < slowRate || !m.fresh(n) {
+			continue
+		}
+		free := r.Free().Minus(room[n])
+		for need > len(at) && g.Demand.Fits(free) {
+			free = free.Minus(g.Demand)
+			at = append(at, n)
+		}
+	}
+	if len(at) < need {
+		return false
+	}
+	for _, n := range at {
+		room[n] = room[n].Plus(g.Demand)
+	}
+	return true
+}
+
 // never lists what was placed on agents' runners that are leaving or closed and
 // has not begun there, and so never will.
 func (m *Machine) never() (list []ids.Grant) {
--- a/poll/run.go
+++ b/poll/run.go
@@ -17,6 +17,9 @@
 	Percent int64   `json:"percent,omitempty"`
 	// Still is how long, in milliseconds, the percentage has not moved.
 	Still ids.Span `json:"stillMs,omitempty"`
+	// Speed is how far it came lately, in thousandths of the whole a second; 0
+	// where that is not known.
+	Speed int64 `json:"speed,omitempty"`
 }
 
 // RunEnd is a run that ended; N rises from 1 within each life of a runner.
@@ -58,7 +61,7 @@
 	a.Silent = ids.Span(o.Int("silentMs", 0, 0, 1<<40))
 	a.Left, a.Dead = o.Bool("left", false), o.Bool("dead", false)
 	for _, one := range o.List("active", most) {
-		s := RunState{Task: readTask(one), Run: readRun(one), Saved: readSaved(one), Percent: one.Int("percent", 0, 0, 1<<20), Still: ids.Span(one.Int("stillMs", 0, 0, 1<<40))}
+		s := RunState{Task: readTask(one), Run: readRun(one), Saved: readSaved(one), Percent: one.Int("percent", 0, 0, 1<<20), Still: ids.Span(one.Int("stillMs", 0, 0, 1<<40)), Speed: one.Int("speed", 0, 0, 1<<30)}
 		one.Done()
 		a.Active = append(a.Active, s)
 	}
