--- a/keeper/agents_test.go
+++ b/keeper/agents_test.go
@@ -60,8 +60,10 @@
 	dead, mute, hung, cut bool
 	frozen                ids.Mono
 	hold                  ids.Span
-	until                 ids.Mono
-	saves                 bool
+	// slow is how many times as long all work takes.
+	slow  ids.Mono
+	until ids.Mono
+	saves bool
 }
 
 type running struct {
@@ -214,6 +216,9 @@
 	kept := h.runs[:0]
 	ended := false
 	for _, r := range h.runs {
+		if h.slow > 0 && s.now%h.slow != 0 {
+			r.end++
+		}
 		how := ""
 		switch {
 		case s.now > h.until:
@@ -255,7 +260,7 @@
 	h.seq++
 	b := agent.Beat{Runner: ids.Inc(fmt.Sprintf("%s-%d", h.name, h.inc)), Seq: h.seq, Pool: "x", Domain: "a", Rack: "r1", Cap: h.room, Draining: h.drain, Departs: 60000}
 	for _, r := range h.runs {
-		far := int64(s.now-r.at) * 100 / int64(r.Run)
+		far := 100 - int64(r.end-s.now)*100/int64(r.Run)
 		if h.hung {
 			far = 0
 		}
@@ -402,6 +407,23 @@
 	}
 }
 
+// TestTurnsSlow: a runner turns six times slow under runs of a second. They begin
+// again elsewhere while there is room, and what comes later goes elsewhere too.
+func TestTurnsSlow(t *testing.T) {
+	s := newSite(t, 4, 3)
+	s.submit("00000000000000f1", 6, 1000)
+	s.run(600)
+	s.hands[0].slow = 6
+	s.run(900)
+	s.submit("00000000000000f2", 4, 1000)
+	s.run(1700)
+	for _, id := range []string{"00000000000000f1", "00000000000000f2"} {
+		if w := s.state(id); w != "well" {
+			t.Errorf("2.6 s after the runner turned slow job %s is %s", id, w)
+		}
+	}
+}
+
 // TestDeadRunner: a runner crashes for good. What it ran begins elsewhere as soon
 // as its own hold must be over, long before its agent's grant is; and never
 // sooner, also when only its beats stopped while it went on.
