--- a/yard/break/main.go
+++ b/yard/break/main.go
@@ -88,7 +88,7 @@
 	{"progress of another task", "book/queue.go", "	j.Task(g.Ref).Saved = saved\n", "	j.Steps[g.Ref.Step][1].Saved = saved\n", []string{"./book", "-run", "TestSaved"}, "saved", nil},
 	{"late work first", "plan/queue.go", "for want := inTime; want <= hopeless; want++ {", "for want := hopeless; want >= inTime; want-- {", []string{"./plan", "-run", "TestHope"}, "want q/first", nil},
 	{"answers to replaced polls are nothing", "agent/machine.go", "		m.stale(r)\n", "", []string{"./agent", "-run", "TestReplacedPoll"}, "held for", nil},
-	{"slow runs are left", "keeper/health.go", "return here > there+there/4+moveCost", "return false", []string{"./keeper", "-run", "TestTurnsSlow"}, "turned slow job", nil},
+	{"slow runs are left", "keeper/health.go", "return here > there+there/4+moveCost", "return here > there+1<<40", []string{"./keeper", "-run", "TestTurnsSlow"}, "turned slow job", nil},
 	{"runs named unlike", "book/queue.go", "		ref.Job = timeKey(j.Key, 0)", "		_ = timeKey", []string{"./keeper", "-run", "TestCancelAtOnce"}, "LIMIT", nil},
 	{"refused what may be taken", "gate/machine.go", "c.Verb != \"GET\" && (c.lost || c.ask != 0)", "c.Verb == \"\"", []string{"./gate", "-run", "TestOutcomeUnknown"}, "passed on, then out of touch", nil},
 	{"torn records taken", "ring/record.go", "if binary.LittleEndian.Uint32(rec[16:]) != sum(rec) {", "if false {", []string{"./ring"}, "FAIL", nil},
