Five voters where five keepers live, spread over zones, each change checked

Cause: the group had three voters however many core machines a site had, so that two lost at once, or a zone of two, could take the majority.

Now five vote where at least five members are live, three where fewer have been alive for 10 s; all by single committed changes. reseat (keeper/reseat.go) is pure: a learner that is ready takes a dead voter's seat, from the zone with the fewest voters; growth waits until two are ready, since four voters bear no more than three and lose more with a zone; a zone two voters ahead gives one up; and no change is made after which the live voters would be no majority. Ready now also means: heard in this term, and holding this leader's own first entry. A learner with an empty log counted as ready while fewer than 64 entries stood.

Ruled out: removing the dead voter before another is promoted (a group of five with two dead is no better off, and shrinks where nobody is ready); shrinking at once when fewer than five live (a machine that restarts would cost two changes).

--- a/keeper/lead.go
+++ b/keeper/lead.go
@@ -30,6 +30,8 @@
 	planned ids.Mono
 	clock   clock
 	beat    ids.Mono
+	// rose is when this lead began, enough when five members were last alive.
+	rose, enough ids.Mono
 }
 
 // contact is a runner as the leader has it in hand.
@@ -82,7 +84,7 @@
 
 func (m *Machine) rise() {
 	l := &lead{runners: map[ids.Runner]*contact{}, placed: map[ids.Grant]ids.Mono{}, sure: map[ids.Grant]bool{},
-		duty: map[string]ids.Index{}, entered: map[string]entry{}, losing: map[ids.Runner]ids.Index{}, hot: map[ids.Runner]bool{}, dirty: true, planned: -planGap}
+		duty: map[string]ids.Index{}, entered: map[string]entry{}, losing: map[ids.Runner]ids.Index{}, hot: map[ids.Runner]bool{}, dirty: true, planned: -planGap, rose: m.now, enough: m.now}
 	for _, n := range m.book.RunnerNames() {
 		l.runners[n] = &contact{inc: m.book.Runners[n].Inc, heard: m.now}
 	}
--- a/keeper/seats.go
+++ b/keeper/seats.go
@@ -13,47 +13,69 @@
 const (
 	// silentMs is how long a voter is silent before a learner that stands ready
 	// takes its seat. Losses may follow one another within few seconds.
-	silentMs  = 2000
-	wantSeats = 3
+	silentMs = 2000
+	// A group has fewSeats voters, and mostSeats where so many members live.
+	fewSeats  = 3
+	mostSeats = 5
+	// readyGap is how many entries a learner may lack when it becomes a voter.
+	readyGap = 64
 )
 
 // seats changes the group by one member when there is reason to.
 func (m *Machine) seats() {
-	list := m.raft.Members()
-	voters, dead, ready, idle := 0, ids.Node(0), ids.Node(0), ids.Node(0)
-	worst := ids.Span(silentMs)
-	for _, mem := range list {
-		if mem.Voter {
+	list := m.seatList()
+	calm := m.now.Since(m.lead.rose) > silentMs
+	if next := reseat(list, m.wanted(list), calm); next != nil {
+		m.raft.Change(next)
+	}
+}
+
+// wanted is how many voters there should be. Five become three only when fewer
+// than five have been alive for long; on the way up or down, with four, there
+// is no reason to linger.
+func (m *Machine) wanted(list []seat) (n int) {
+	live, voters := 0, 0
+	for _, s := range list {
+		if s.live {
+			live++
+		}
+		if s.Voter {
 			voters++
 		}
 	}
+	if live >= mostSeats {
+		m.lead.enough = m.now
+		return mostSeats
+	}
+	if voters >= mostSeats && m.now.Since(m.lead.enough) <= deadMs {
+		return mostSeats
+	}
+	return fewSeats
+}
+
+// seatList is the group as this leader sees it. Whoever it has not heard in
+// its own term is neither live nor ready.
+func (m *Machine) seatList() (out []seat) {
+	list, seen := m.raft.Members(), map[ids.Node]raft.Sight{}
 	for _, s := range m.raft.See() {
+		seen[s.ID] = s
+	}
+	for _, mem := range list {
+		s, other := seen[mem.ID]
+		if !other {
+			out = append(out, seat{Member: mem, self: true, live: true})
+			continue
+		}
+		gone := outlived(list, mem)
 		quiet := s.Quiet
-		if outlived(list, s.Member) {
+		if gone {
 			quiet = max(quiet, deadMs) * 2
 		}
-		switch {
-		case s.Voter && quiet > worst:
-			dead, worst = s.ID, quiet
-		case !s.Voter && s.Quiet < silentMs/2 && s.Match+64 >= m.raft.Commit():
-			ready = s.ID
-		case !s.Voter && quiet > deadMs:
-			idle = s.ID
-		}
-	}
-	switch {
-	case voters > wantSeats && dead != 0:
-		m.raft.Change(without(list, dead))
-	case ready != 0 && (voters < wantSeats || dead != 0 && voters == wantSeats):
-		next := []raft.Member{}
-		for _, mem := range list {
-			mem.Voter = mem.Voter || mem.ID == ready
-			next = append(next, mem)
-		}
-		m.raft.Change(next)
-	case idle != 0:
-		m.raft.Change(without(list, idle))
+		heard := s.At != 0 && quiet < silentMs
+		out = append(out, seat{Member: mem, quiet: quiet, live: heard, dead: mem.Voter && quiet > silentMs, idle: !mem.Voter && quiet > deadMs,
+			ready: !mem.Voter && heard && quiet < silentMs/2 && s.Match >= m.raft.First() && s.Match+readyGap >= m.raft.Commit()})
 	}
+	return out
 }
 
 // outlived tells whether a later member has this one's address: its process
@@ -66,12 +88,3 @@
 	}
 	return yes
 }
-
-func without(list []raft.Member, id ids.Node) (next []raft.Member) {
-	for _, mem := range list {
-		if mem.ID != id {
-			next = append(next, mem)
-		}
-	}
-	return next
-}
--- a/sim/keep.go
+++ b/sim/keep.go
@@ -26,6 +26,8 @@
 	gone  bool
 	level uint16
 	aside string
+	// saved is how far the log on its disk goes.
+	saved ids.Index
 }
 
 func (w *World) addKeeper(name, zone string) (k *keep) {
@@ -38,19 +40,20 @@
 func (k *keep) begin() {
 	w := k.w
 	k.life++
-	k.up, k.begun, k.todo, k.now, k.ring = true, w.Now, ring.Chores{}, nil, nil
+	k.up, k.begun, k.todo, k.now, k.ring, k.saved = true, w.Now, ring.Chores{}, nil, nil, 0
 	id, shape, err := ring.Identity(k.disk, ids.Node(w.rnd.Uint64()|1), k.shape)
 	if err != nil {
 		panic(err)
 	}
 	k.shape = shape
-	k.mach = keeper.New(keeper.Boot{ID: id, Addr: k.addr, Domain: ids.Domain(k.zone), Seeds: k.seeds, Seed: w.rnd.Int63(), Timing: raft.Usual(), Level: k.level, Found: true}, 0)
+	k.mach = keeper.New(keeper.Boot{ID: id, Addr: k.addr, Domain: ids.Domain(k.zone), Seeds: k.seeds, Seed: w.rnd.Int63(), Timing: w.Site.timing(), Level: k.level, Found: true}, 0)
 	r, found, err := ring.Open(k.disk, k.shape)
 	if err != nil {
 		panic("sim: " + k.name + ": " + err.Error())
 	}
 	k.ring = r
 	if found != nil {
+		k.saved = found.View.Index + ids.Index(len(found.List))
 		if err = k.mach.Resume(found.Hard, found.View, found.List); err != nil {
 			k.aside = err.Error()
 			k.crash()
@@ -133,6 +136,7 @@
 	if x.Draft != nil {
 		return
 	}
+	k.note(x)
 	k.w.post(k.node, 0, func() {
 		if x.Start != nil {
 			k.mach.Started(x.Start, k.w.mono(k.node), k.w.wall(k.node))
@@ -143,6 +147,18 @@
 	})
 }
 
+// note takes down how far the log on the disk goes after a chore.
+func (k *keep) note(x *ring.Chore) {
+	switch {
+	case x.Start != nil:
+		k.saved = x.Start.Index
+	case len(x.Write.Entries) > 0:
+		k.saved = x.Write.Entries[len(x.Write.Entries)-1].Index
+	case x.Write.View != nil:
+		k.saved = max(k.saved, x.Write.View.Index)
+	}
+}
+
 // wipe takes the power and the disk; the machine may begin again, empty, at its
 // old address.
 func (k *keep) wipe() {
--- a/sim/run.go
+++ b/sim/run.go
@@ -36,11 +36,12 @@
 func NewWorld(seed int64, site Site) (w *World) {
 	w = &World{Site: site, rnd: rand.New(rand.NewSource(seed)), nodes: map[string]*node{}, cuts: map[[2]string]bool{}, last: map[[2]string]int64{}, shuts: map[string]int{}, Struck: map[string]int{}}
 	w.Watch = watch.New(w)
-	for i := 0; i < site.Keepers; i++ {
+	for i := 0; i < min(site.Keepers, 3); i++ {
 		w.seeds = append(w.seeds, fmt.Sprintf("k%d", i+1))
 	}
 	for i := 0; i < site.Keepers; i++ {
-		w.addKeeper(w.seeds[i], zones[i%3])
+		core := site.coreZones()
+		w.addKeeper(fmt.Sprintf("k%d", i+1), core[i%len(core)])
 	}
 	for i := 0; i < site.Gates; i++ {
 		w.addGate(fmt.Sprintf("g%d", i+1), zones[i%3])
--- a/sim/world.go
+++ b/sim/world.go
@@ -11,6 +11,7 @@
 	"math/rand"
 
 	"orchidward/ids"
+	"orchidward/raft"
 	"orchidward/watch"
 	"orchidward/wire"
 )
@@ -66,6 +67,25 @@
 	Rate int64
 	// Faulty is the usual share of defective runs in percent.
 	Faulty int64
+	// Zones is how many zones the keepers stand in, 0 for the usual three.
+	Zones int
+	// Elect is the least wait before an election in ms, 0 for the usual.
+	Elect ids.Span
+}
+
+// coreZones are the zones that keepers stand in: gates and runners have three.
+func (s Site) coreZones() (list []string) {
+	if s.Zones == 4 {
+		return append(append(list, zones...), "south")
+	}
+	return zones
+}
+
+func (s Site) timing() (t raft.Timing) {
+	if s.Elect == 0 {
+		return raft.Usual()
+	}
+	return raft.Paced(s.Elect)
 }
 
 func Gilde() (s Site) {
