Chaos of five voters among six and eight members, two lost at the same moment

Cause: raft's chaos began with three or five voters, went down to three, and lost one host at a time; nothing tried two at once, nor losses while a seat of five changes.

TestChaosOfFive keeps five voters of six members and of eight. Two voters are bounced at the same moment, also within 60 ms of a change of seats; a third of the time one of them is lost for good and an empty host comes. A host is lost for good only where every list of members that anyone still goes by keeps a majority: the others always come back.

Ruled out: new rules in raft itself; none were needed.

--- a/raft/chaos_test.go
+++ b/raft/chaos_test.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand"
 	"sync"
@@ -24,6 +25,7 @@
 	draft *View
 	at    ids.Index
 	seen  map[ids.Index]string
+	gone  bool
 }
 
 // flightMsg is a message on its way.
@@ -51,6 +53,13 @@
 	// later holds what is to happen at its ms.
 	later map[int64][]func()
 	wild  bool
+	// want is how many vote, most how many members there may be, hosts over time.
+	want, most, hostsMost int
+	// pairs says that two hosts are lost at once now and then, and that a host
+	// may be lost for good, its disk with it, and an empty one come.
+	pairs bool
+	both  int
+	wiped int
 }
 
 func (g *group) in(ms int64, do func()) { g.later[g.now+1+ms] = append(g.later[g.now+1+ms], do) }
@@ -66,12 +75,81 @@
 		wait = g.rnd.Int63n(3000)
 	}
 	g.in(wait, func() {
-		if !h.up {
+		if !h.up && !h.gone {
 			g.begin(h)
 		}
 	})
 }
 
+// two bounces two voters at once; now and then one of them is lost for good.
+func (g *group) two() {
+	k := g.head()
+	if !g.pairs || k == nil {
+		return
+	}
+	list := []*host{}
+	for _, m := range k.r.Members() {
+		if h := g.hosts[m.ID-1]; m.Voter && h.up {
+			list = append(list, h)
+		}
+	}
+	g.rnd.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	if len(list) < 2 {
+		return
+	}
+	g.both++
+	for i, h := range list[:2] {
+		if i == 0 && g.rnd.Intn(3) == 0 && g.spared(h) {
+			g.crash(h)
+			h.gone = true
+			g.wiped++
+			continue
+		}
+		g.bounce(h)
+	}
+}
+
+// spared tells whether, with one more host lost for good, the last two lists of
+// members that anyone goes by or has on its disk keep a majority of voters.
+func (g *group) spared(lost *host) (ok bool) {
+	for _, h := range g.hosts {
+		if h.gone {
+			continue
+		}
+		lists := [][]Member{h.view.Members}
+		for _, e := range h.list {
+			if e.Kind == Config {
+				lists = append(lists, read(e))
+			}
+		}
+		if h.up {
+			lists = append(lists, h.r.Members())
+		}
+		for _, list := range lists[len(lists)-min(2, len(lists)):] {
+			voters, left := 0, 0
+			for _, m := range list {
+				if m.Voter {
+					voters++
+				}
+				if one := g.hosts[m.ID-1]; m.Voter && !one.gone && one != lost {
+					left++
+				}
+			}
+			if left <= voters/2 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func read(e Entry) (list []Member) {
+	if err := json.Unmarshal(e.Data, &list); err != nil {
+		panic(err)
+	}
+	return list
+}
+
 func (g *group) fail(text string, args ...any) {
 	if g.failed == "" {
 		g.failed = fmt.Sprintf("at %d: ", g.now) + fmt.Sprintf(text, args...)
@@ -279,7 +357,7 @@
 	switch n := g.rnd.Intn(6000); {
 	case n < 8 && h.up:
 		g.crash(h)
-	case n < 30 && !h.up:
+	case n < 30 && !h.up && !h.gone:
 		g.begin(h)
 	case n < 50 && h != other:
 		g.cuts[[2]ids.Node{h.id, other.id}] = true
@@ -311,6 +389,10 @@
 		g.seat()
 		g.in(g.rnd.Int63n(10), g.seat)
 		g.in(g.rnd.Int63n(30), g.seat)
+	case n < 150:
+		g.two()
+	case n < 200 && g.pairs:
+		g.seat()
 	}
 }
 
@@ -331,8 +413,13 @@
 		list = append(list, m)
 	}
 	switch {
-	case voters > 3:
+	case voters > g.want:
 		out := list[g.rnd.Intn(len(list))]
+		for _, m := range list {
+			if m.Voter && g.hosts[m.ID-1].gone {
+				out = m
+			}
+		}
 		if !out.Voter || out.ID == k.id {
 			return
 		}
@@ -342,6 +429,10 @@
 				break
 			}
 		}
+	case g.pairs && g.room(list), learner == 0 && g.room(list):
+		fresh := g.add(append([]Member(nil), list...), 0)
+		list = append(list, Member{ID: fresh.id, Addr: fmt.Sprint(fresh.id)})
+		g.begin(fresh)
 	case learner != 0:
 		p := k.r.peers[learner]
 		if p == nil || p.match+64 < k.r.Commit() {
@@ -350,10 +441,6 @@
 		for i := range list {
 			list[i].Voter = list[i].Voter || list[i].ID == learner
 		}
-	case len(g.hosts) < 6:
-		fresh := g.add(append([]Member(nil), list...), 0)
-		list = append(list, Member{ID: fresh.id, Addr: fmt.Sprint(fresh.id)})
-		g.begin(fresh)
 	default:
 		return
 	}
@@ -361,9 +448,17 @@
 		g.seats++
 		k.r.Flush()
 		g.out(k)
+		if g.wild && g.pairs && g.rnd.Intn(3) == 0 {
+			g.in(g.rnd.Int63n(60), g.two)
+		}
 	}
 }
 
+// room tells whether another host may join.
+func (g *group) room(list []Member) (ok bool) {
+	return len(g.hosts) < g.hostsMost && len(list) < g.most
+}
+
 // TestChaos runs members through crashes that lose what was not synced, cuts
 // in one direction and both, lost, doubled and late messages, views, handed-on
 // leadership and changing seats. After every step: one leader a term, one
@@ -392,22 +487,70 @@
 	t.Logf("%d terms had a leader, %d changes of seats", terms, seats)
 }
 
+// TestChaosOfFive is the same with five voters of six members and of eight: two
+// are lost at the same moment, also while a seat changes, and some of them for
+// good, so that an empty one takes the seat.
+func TestChaosOfFive(t *testing.T) {
+	for _, most := range []int{6, 8} {
+		terms, seats, both, wiped := 0, 0, 0, 0
+		var lock sync.Mutex
+		t.Run(fmt.Sprint(most), func(t *testing.T) {
+			for seed := int64(1); seed <= 80; seed++ {
+				t.Run(fmt.Sprint(seed), func(t *testing.T) {
+					t.Parallel()
+					g := weather(seed)
+					g.want, g.most, g.hostsMost, g.pairs = 5, most, 24, true
+					g.run(5)
+					if g.failed != "" {
+						t.Errorf("seed %d: %s", seed, g.failed)
+					}
+					lock.Lock()
+					defer lock.Unlock()
+					terms, seats, both, wiped = terms+len(g.leads), seats+g.seats, both+g.both, wiped+g.wiped
+				})
+			}
+		})
+		if terms < 200 || seats < 200 || both < 150 || wiped < 30 {
+			t.Errorf("of %d: too little evidence: %d terms, %d seats, %d pairs lost, %d hosts for good", most, terms, seats, both, wiped)
+		}
+		t.Logf("of %d: %d terms had a leader, %d changes of seats, %d pairs lost at once, %d hosts for good", most, terms, seats, both, wiped)
+	}
+}
+
 func chaos(seed int64) (g *group) {
-	g = &group{rnd: rand.New(rand.NewSource(seed)), cuts: map[[2]ids.Node]bool{}, leads: map[ids.Term]ids.Node{}, done: map[ids.Index]string{},
+	g = weather(seed)
+	g.want, g.most, g.hostsMost = 3, 6, 6
+	g.run(3 + 2*int(seed%2))
+	return g
+}
+
+func weather(seed int64) (g *group) {
+	return &group{rnd: rand.New(rand.NewSource(seed)), cuts: map[[2]ids.Node]bool{}, leads: map[ids.Term]ids.Node{}, done: map[ids.Index]string{},
 		disk: []int{2, 6, 25}[seed%3], size: []int{4, 50 << 10}[seed/3%2], mild: []int{2, 4, 8, 16}[seed%4], later: map[int64][]func(){}}
+}
+
+// run lets a group of so many voters loose, mends all, and wants it to go on.
+func (g *group) run(voters int) {
 	list := []Member{}
-	for i := 1; i <= 3+2*int(seed%2); i++ {
+	for i := 1; i <= voters; i++ {
 		list = append(list, Member{ID: ids.Node(i), Addr: fmt.Sprint(i), Voter: true})
 	}
-	for range list {
-		g.begin(g.add(list, 1))
+	for len(list) < g.most && g.pairs {
+		list = append(list, Member{ID: ids.Node(len(list) + 1), Addr: fmt.Sprint(len(list) + 1)})
+	}
+	for _, m := range list {
+		at := ids.Index(0)
+		if m.Voter {
+			at = 1
+		}
+		g.begin(g.add(list, at))
 	}
 	for g.now < 20000 && g.failed == "" {
 		g.step(true)
 	}
 	g.cuts = map[[2]ids.Node]bool{}
 	for _, h := range g.hosts {
-		if !h.up {
+		if !h.up && !h.gone {
 			g.begin(h)
 		}
 	}
@@ -418,12 +561,11 @@
 	k := g.head()
 	if k == nil || g.top < before+20 {
 		g.fail("mended, the group does not go on: %d committed, then %d", before, g.top)
-		return g
+		return
 	}
 	for _, m := range k.r.Members() {
-		if h := g.hosts[m.ID-1]; h.at+200 < g.top {
+		if h := g.hosts[m.ID-1]; !h.gone && h.at+200 < g.top {
 			g.fail("member %d is at %d, the group at %d", m.ID, h.at, g.top)
 		}
 	}
-	return g
 }
