A keeper without a data folder is a porter: no log, no vote, it passes on

Cause: the platform may put the keeper's role on machines without a disk. There the program refused its settings, and had it not, a keeper would have voted by a log that a restart forgets.

keeper/porter.go: a porter has no identity and no raft, asks seeds and members where the group is, tells whoever asks (role "porter", members, leader), and passes requests on to the leader, those made at it and others'. The leader's own word goes first; a leader nobody vouches for within 2 s is forgotten, so that askers hear 503 and come again. Would-be learners told of the group by a porter ask its members, as with gates. coredesk opens no folder when Data is "".

Ruled out: a porter that writes to a temporary folder and votes (loses votes); polling every member always (the leader is asked alone while it answers).

Not in this change: founding with porters among the seeds. Nobody founds then, as before: the rule wants all three seeds to be empty keepers.

--- a/coredesk/desk.go
+++ b/coredesk/desk.go
@@ -26,8 +26,8 @@
 	"orchidward/wire"
 )
 
-// Settings are what a keeper is started with. Without HTTP it serves none of
-// its own. Memory is in bytes; 0 sets no limit.
+// Settings are what a keeper is started with. Without Data, a folder, it is a
+// porter. Without HTTP it serves none of its own. Memory is in bytes; 0 sets no limit.
 type Settings struct {
 	Data   string
 	Addr   string
@@ -89,17 +89,12 @@
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(s.Memory / 10 * 8)
 	}
-	disk, err := ring.OpenFolder(s.Data)
-	if err != nil {
-		return nil, err
-	}
-	id, shape, err := ring.Identity(disk, ids.Node(random()), ring.Shape{Files: int(s.Files), Bytes: int(s.FileKb) << 10})
-	if err != nil {
+	d = &Desk{log: log, clock: crew.NewClock(), in: crew.NewRing[input](8192), errands: serve.NewErrands[*keeper.Machine](4096), hall: newHall(), stop: stop}
+	boot := keeper.Boot{Addr: s.Addr, Domain: s.Domain, Seeds: s.Seeds, Seed: int64(random() >> 1), Timing: s.timing(), Level: book.Present, Found: s.Found, Cells: s.Cells, Diskless: s.Data == ""}
+	if d.store, boot.ID, err = newStore(s); err != nil {
 		return nil, err
 	}
-	d = &Desk{log: log, clock: crew.NewClock(), in: crew.NewRing[input](8192), errands: serve.NewErrands[*keeper.Machine](4096), hall: newHall(), stop: stop}
-	d.store = newStore(disk, shape)
-	d.mach = keeper.New(keeper.Boot{ID: id, Addr: s.Addr, Domain: s.Domain, Seeds: s.Seeds, Seed: int64(random() >> 1), Timing: s.timing(), Level: book.Present, Found: s.Found, Cells: s.Cells}, d.clock.Now())
+	d.mach = keeper.New(boot, d.clock.Now())
 	d.mach.Full = d.store.full
 	found, err := d.store.open()
 	if err != nil {
@@ -114,7 +109,7 @@
 	if d.link, err = link.Listen(s.Addr, c); err != nil {
 		return nil, err
 	}
-	if err = d.begin(s, c, life, id); err != nil {
+	if err = d.begin(s, c, life, boot.ID); err != nil {
 		d.link.Close()
 		return nil, err
 	}
--- a/coredesk/desk_test.go
+++ b/coredesk/desk_test.go
@@ -106,6 +106,47 @@
 	}
 }
 
+// TestPorter: a keeper without a data folder keeps nothing and has no seat; a
+// request made at it is settled by the leader all the same.
+func TestPorter(t *testing.T) {
+	c, addrs := crew.New(), free(4)
+	seeds, list := addrs[:3], []*Desk{}
+	defer c.Stop(context.Background())
+	log := logs.New()
+	log.Quiet()
+	l := &life{down: make(chan bool, 1)}
+	porter, err := New(Settings{Addr: addrs[3], Domain: "north", Seeds: seeds, Found: true}, c, log, l, l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.start(t)
+	if a := porter.Ask(context.Background(), gate.Request{Verb: "GET", Path: "/v1/table", Budget: 300}); a.Status != 503 || !strings.Contains(string(a.Body), "no-leader") {
+		t.Errorf("before there is a group: %d %s", a.Status, a.Body)
+	}
+	for _, addr := range seeds {
+		d, l := desk(t, c, addr, seeds)
+		l.start(t)
+		list = append(list, d)
+	}
+	ctx, end := context.WithTimeout(context.Background(), 60*time.Second)
+	defer end()
+	a := settled(ctx, porter, gate.Request{Verb: "PUT", Path: "/v1/jobs/a/j", Body: []byte(`{"pending":"default","steps":[{"name":"s"}]}`)})
+	if a.Status != 201 && a.Status != 200 {
+		t.Fatalf("the porter answered %d %s", a.Status, a.Body)
+	}
+	if a = settled(ctx, list[0], gate.Request{Verb: "GET", Path: "/v1/jobs"}); !strings.Contains(string(a.Body), "a/j") {
+		t.Errorf("a keeper does not know the porter's job: %d %s", a.Status, a.Body)
+	}
+	alone := false
+	if !porter.Look(ctx, func(m *keeper.Machine) { alone = m.Raft() == nil }) || !alone || !porter.Ready() {
+		t.Errorf("the porter has a log: %v, is ready: %v", !alone, porter.Ready())
+	}
+	members := 0
+	if !list[0].Look(ctx, func(m *keeper.Machine) { members = len(m.Raft().Members()) }) || members != 3 {
+		t.Errorf("%d members", members)
+	}
+}
+
 // settled asks until a leader has settled it, as a caller would.
 func settled(ctx context.Context, d *Desk, r gate.Request) (a gate.Answer) {
 	for ctx.Err() == nil {
--- a/coredesk/gauge.go
+++ b/coredesk/gauge.go
@@ -5,7 +5,7 @@
 
 func (d *Desk) gauge() {
 	r := d.mach.Raft()
-	d.tell(r != nil && r.Lead() != 0)
+	d.tell(d.mach.Led())
 	if r == nil {
 		return
 	}
--- a/coredesk/store.go
+++ b/coredesk/store.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"orchidward/crew"
+	"orchidward/ids"
 	"orchidward/ring"
 )
 
@@ -26,13 +27,26 @@
 	fill  atomic.Int64
 }
 
-func newStore(disk *ring.Folder, shape ring.Shape) (s *store) {
-	return &store{disk: disk, shape: shape, in: crew.NewRing[*ring.Chore](1), out: crew.NewRing[done](1)}
+// newStore opens the folder and reads or makes up the keeper's identity; a
+// porter has neither.
+func newStore(set Settings) (s *store, id ids.Node, err error) {
+	s = &store{in: crew.NewRing[*ring.Chore](1), out: crew.NewRing[done](1)}
+	if set.Data == "" {
+		return s, 0, nil
+	}
+	if s.disk, err = ring.OpenFolder(set.Data); err != nil {
+		return nil, 0, err
+	}
+	id, s.shape, err = ring.Identity(s.disk, ids.Node(random()), ring.Shape{Files: int(set.Files), Bytes: int(set.FileKb) << 10})
+	return s, id, err
 }
 
 func (s *store) full() (percent int) { return int(s.fill.Load()) }
 
 func (s *store) open() (found *ring.Found, err error) {
+	if s.disk == nil {
+		return nil, nil
+	}
 	if s.ring, found, err = ring.Open(s.disk, s.shape); err != nil {
 		return nil, errors.Wrap(err, "data folder")
 	}
@@ -40,6 +54,9 @@
 }
 
 func (s *store) run(stop <-chan struct{}) {
+	if s.disk == nil {
+		return
+	}
 	defer s.disk.Close()
 	for {
 		select {
--- a/keeper/ask.go
+++ b/keeper/ask.go
@@ -23,15 +23,8 @@
 		m.route(from, a)
 		return
 	}
-	lead := ids.Node(0)
-	if m.raft != nil {
-		lead = m.raft.Lead()
-	}
-	mem := raft.Member{}
-	if lead != 0 && lead != m.boot.ID {
-		mem, _ = m.raft.Member(lead)
-	}
-	if mem.Addr == "" || a.Hops > 0 || len(m.relays) >= mostWaits {
+	mem, ok := m.leader()
+	if !ok || mem.ID == m.boot.ID || mem.Addr == "" || a.Hops > 0 || len(m.relays) >= mostWaits {
 		m.send(from, wire.Msg{Reply: &wire.Reply{ID: a.ID, Status: 503, Moved: true, Retry: 200}})
 		return
 	}
--- a/keeper/boot.go
+++ b/keeper/boot.go
@@ -19,6 +19,8 @@
 	Timing raft.Timing
 	// Level is the highest level of commands and rules this program knows.
 	Level uint16
+	// Diskless makes it a porter: it has no identity and keeps nothing.
+	Diskless bool
 	// Found lets an empty keeper found a group.
 	Found bool
 	// Cells are the cells of the table's first row that a founder sets.
--- a/keeper/find.go
+++ b/keeper/find.go
@@ -33,6 +33,12 @@
 
 func (m *Machine) self(ask bool) (t *wire.Tell) {
 	t = &wire.Tell{Ask: ask, Role: "keeper", Node: m.boot.ID, Addr: m.boot.Addr, Domain: m.boot.Domain, Gates: m.liveGates()}
+	if p := m.porter; p != nil {
+		t.Role, t.Node, t.Founded, t.Members = "porter", 0, p.knows(), p.members
+		if mem, ok := p.leader(m.now); ok {
+			t.Lead = mem.ID
+		}
+	}
 	if m.raft != nil {
 		t.Founded, t.Lead, t.Members, t.Founders = true, m.raft.Lead(), m.raft.Members(), m.founders
 	}
@@ -110,6 +116,10 @@
 		m.send(from, wire.Msg{Tell: m.self(false)})
 		return
 	}
+	if m.porter != nil {
+		m.learn(t)
+		return
+	}
 	if m.find == nil || m.find.begun {
 		if m.raft != nil && m.now.Since(m.alone) > deadMs/2 {
 			m.rejoin(from, t)
--- a/keeper/machine.go
+++ b/keeper/machine.go
@@ -39,6 +39,7 @@
 
 	founders []raft.Member
 	find     *find
+	porter   *porter
 	gates    map[string]ids.Mono
 	// edge is where gates listen, and when each was last heard.
 	edge  map[string]ids.Mono
@@ -81,8 +82,12 @@
 }
 
 func New(boot Boot, now ids.Mono) (m *Machine) {
-	return &Machine{boot: boot, now: now, nextID: uint64(boot.Seed), gates: map[string]ids.Mono{}, edge: map[string]ids.Mono{}, waits: map[ids.Index]wait{}, relays: map[uint64]relay{},
+	m = &Machine{boot: boot, now: now, nextID: uint64(boot.Seed), gates: map[string]ids.Mono{}, edge: map[string]ids.Mono{}, waits: map[ids.Index]wait{}, relays: map[uint64]relay{},
 		find: newFind(), alone: now, reason: map[ids.Key]map[int]string{}, book: book.New(), shelf: policy.NewShelf(), fared: plan.Policies{}, Full: func() int { return 0 }}
+	if boot.Diskless {
+		m.find, m.porter = nil, &porter{}
+	}
+	return m
 }
 
 // Resume starts from what the disk held. A view that doesn't decode is damage
@@ -124,6 +129,10 @@
 		m.seek()
 		return
 	}
+	if m.porter != nil {
+		m.round()
+		m.expire()
+	}
 	if m.raft == nil {
 		return
 	}
--- /dev/null
+++ b/keeper/porter.go
@@ -0,0 +1,123 @@
+// A porter is a keeper on a machine without a disk. It holds no log, has no
+// vote and joins no group. It keeps in touch with one, tells whoever asks where
+// it is, and passes requests on to the leader.
+package keeper
+
+import (
+	"sort"
+
+	"orchidward/ids"
+	"orchidward/raft"
+	"orchidward/wire"
+)
+
+type porter struct {
+	next    ids.Mono
+	members []raft.Member
+	lead    ids.Node
+	// heard is when a keeper last said that lead leads, own when that one did.
+	heard, own ids.Mono
+}
+
+const (
+	// vouchLife is how long a porter goes by a leader nobody vouches for, and
+	// ownLife how long others' word does not count against the leader's own.
+	vouchLife = 2000
+	ownLife   = 3 * seekGap
+)
+
+func (p *porter) knows() (yes bool) { return len(p.members) > 0 }
+
+// leader is the member that leads, by what the porter has heard lately.
+func (p *porter) leader(now ids.Mono) (mem raft.Member, ok bool) {
+	if p.lead == 0 || now.Since(p.heard) > vouchLife {
+		return mem, false
+	}
+	for _, mem := range p.members {
+		if mem.ID == p.lead {
+			return mem, true
+		}
+	}
+	return mem, false
+}
+
+// round asks the leader whether it still leads, or everybody who does.
+func (m *Machine) round() {
+	p := m.porter
+	if m.now < p.next {
+		return
+	}
+	p.next = m.now.Add(seekGap)
+	if mem, ok := p.leader(m.now); ok && m.now.Since(p.own) < ownLife {
+		m.send(wire.Peer(mem.Addr), wire.Msg{Tell: m.self(true)})
+		return
+	}
+	for _, addr := range p.known(m.boot.Seeds) {
+		if addr != m.boot.Addr {
+			m.send(wire.Peer(addr), wire.Msg{Tell: m.self(true)})
+		}
+	}
+}
+
+// known are the addresses of seeds and members, each once.
+func (p *porter) known(seeds []string) (list []string) {
+	seen := map[string]bool{}
+	for _, addr := range seeds {
+		seen[addr] = true
+	}
+	for _, mem := range p.members {
+		seen[mem.Addr] = true
+	}
+	for addr := range seen {
+		list = append(list, addr)
+	}
+	sort.Strings(list)
+	return list
+}
+
+// learn takes what a group's keeper says of it. Others are believed only where
+// the porter knows nothing yet, as they know it no better.
+func (m *Machine) learn(t *wire.Tell) {
+	p := m.porter
+	if !t.Founded || len(t.Members) == 0 {
+		return
+	}
+	own := t.Role == "keeper" && t.Node != 0 && t.Node == t.Lead
+	switch {
+	case own:
+		p.own = m.now
+	case t.Role == "keeper" && t.Lead != 0:
+		if _, ok := p.leader(m.now); ok && m.now.Since(p.own) < ownLife {
+			return
+		}
+	default:
+		if !p.knows() {
+			p.members = t.Members
+		}
+		return
+	}
+	if p.lead != t.Lead {
+		m.event("leader-known", "node", t.Lead, "members", t.Members)
+	}
+	p.members, p.lead, p.heard = t.Members, t.Lead, m.now
+}
+
+// leader is who leads, as far as this keeper knows: another, or itself.
+func (m *Machine) leader() (mem raft.Member, ok bool) {
+	switch {
+	case m.porter != nil:
+		return m.porter.leader(m.now)
+	case m.raft == nil || m.raft.Lead() == 0:
+		return mem, false
+	}
+	return m.raft.Member(m.raft.Lead())
+}
+
+// Led tells whether this keeper knows who leads.
+func (m *Machine) Led() (yes bool) {
+	if m.raft != nil {
+		return m.raft.Lead() != 0
+	}
+	_, yes = m.leader()
+	return yes
+}
--- a/sim/keep.go
+++ b/sim/keep.go
@@ -28,6 +28,8 @@
 	aside string
 	// saved is how far the log on its disk goes.
 	saved ids.Index
+	// diskless makes it a porter.
+	diskless bool
 }
 
 func (w *World) addKeeper(name, zone string) (k *keep) {
@@ -41,6 +43,11 @@
 	w := k.w
 	k.life++
 	k.up, k.begun, k.todo, k.now, k.ring, k.saved = true, w.Now, ring.Chores{}, nil, nil, 0
+	if k.diskless {
+		k.mach = keeper.New(keeper.Boot{Addr: k.addr, Domain: ids.Domain(k.zone), Seeds: k.seeds, Seed: w.rnd.Int63(), Timing: w.Site.timing(), Level: k.level, Found: true, Diskless: true}, 0)
+		k.tick(k.life)
+		return
+	}
 	id, shape, err := ring.Identity(k.disk, ids.Node(w.rnd.Uint64()|1), k.shape)
 	if err != nil {
 		panic(err)
--- /dev/null
+++ b/sim/porter_test.go
@@ -0,0 +1,118 @@
+package sim
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+
+	"orchidward/keeper"
+	"orchidward/wire"
+)
+
+// TestPorters: keepers without a disk find the group, show who leads, and never
+// become members; an empty keeper and a gate whose only living seeds are porters
+// find their way by them, also after the porters have lost all they knew, and
+// the leader its place, while nobody who is a seed of anyone is left.
+func TestPorters(t *testing.T) {
+	t.Parallel()
+	site := Gilde()
+	site.Porters = 2
+	play(t, Plan{Seed: 361, Site: site, Window: 45000, Settle: 30000, Extra: func(w *World) {
+		w.Site.Rate = 40
+		porters := append([]*keep(nil), w.keepers[3:]...)
+		seeds := []string{"p1", "nobody", "p2"}
+		know := func(when string) {
+			for _, p := range porters {
+				if !p.mach.Led() || p.mach.Raft() != nil {
+					t.Errorf("%s %s knows of no leader", when, p.name)
+				}
+			}
+		}
+		w.at(7000, func() { know("founded,") })
+		w.at(9000, func() {
+			k := w.leader()
+			k.wipe()
+			k.seeds = seeds
+			w.after(2500, k.begin)
+			w.die(w.gates[0].node)
+			w.seeds = seeds
+			w.gates[0].begin()
+		})
+		w.at(14500, func() {
+			know("the leader wiped,")
+			if !w.gates[0].mach.Ready(w.mono(w.gates[0].node)) {
+				t.Error("a gate whose seeds are porters found no way in")
+			}
+		})
+		w.at(20000, func() {
+			w.after(1000, w.stopKeeper(porters[0]))
+			w.after(1500, w.stopKeeper(porters[1]))
+		})
+		w.at(25000, func() {
+			know("started anew,")
+			for _, k := range w.keepers {
+				if k == w.leader() {
+					w.loseDisk(k)
+					for j := range w.keepers {
+						if w.keepers[j].name == k.name+"b" {
+							w.keepers[j].seeds = seeds
+						}
+					}
+					break
+				}
+			}
+		})
+		w.at(38000, func() {
+			know("the leader replaced,")
+			if w.leader() == nil {
+				t.Error("the leader replaced, nobody leads")
+				return
+			}
+			list := []string{}
+			for _, mem := range w.leader().mach.Raft().Members() {
+				list = append(list, fmt.Sprint(mem.Addr[:2], mem.Voter))
+			}
+			sort.Strings(list)
+			if fmt.Sprint(list) != "[k1true k2true k3true]" {
+				t.Errorf("members: %v", list)
+			}
+		})
+	}})
+}
+
+// TestPorterPasses: what is asked of a porter the leader answers; with no leader
+// known the asker is told so at once.
+func TestPorterPasses(t *testing.T) {
+	t.Parallel()
+	site := Gilde()
+	site.Porters = 1
+	w := NewWorld(362, site)
+	w.callers.stop = 0
+	porter := w.keepers[3]
+	ask := func() (list []wire.Send) {
+		m := porter.mach
+		m.Frame("@1", wire.Msg{Ask: &wire.Ask{ID: 9, Verb: "GET", Path: "/v1/table", Budget: 1000}}, w.mono(porter.node), w.wall(porter.node))
+		list = m.Take().Sends
+		return list
+	}
+	w.Run(400)
+	if list := ask(); len(list) != 1 || list[0].To != "@1" || list[0].Msg.Reply == nil || !list[0].Msg.Reply.Moved || list[0].Msg.Reply.ID != 9 {
+		t.Errorf("with no leader known: %+v", list)
+	}
+	w.Run(6000)
+	list := ask()
+	if len(list) != 1 || w.leader() == nil || string(list[0].To) != w.leader().addr || list[0].Msg.Ask == nil || list[0].Msg.Ask.Hops != 1 {
+		t.Fatalf("asked with a leader known: %+v", list)
+	}
+	porter.mach.Frame(list[0].To, wire.Msg{Reply: &wire.Reply{ID: list[0].Msg.Ask.ID, Status: 200}}, w.mono(porter.node), w.wall(porter.node))
+	if back := porter.mach.Take().Sends; len(back) != 1 || back[0].To != "@1" || back[0].Msg.Reply == nil || back[0].Msg.Reply.ID != 9 || back[0].Msg.Reply.Status != 200 {
+		t.Errorf("the leader's answer came back as %+v", back)
+	}
+	for _, k := range w.keepers[:3] {
+		w.stopKeeper(k)
+	}
+	w.Run(6000 + 3000 + int64(keeper.Tick))
+	if list = ask(); len(list) != 1 || list[0].Msg.Reply == nil || !list[0].Msg.Reply.Moved {
+		t.Errorf("3 s after the leader's end: %+v", list)
+	}
+}
--- a/sim/run.go
+++ b/sim/run.go
@@ -43,6 +43,9 @@
 		core := site.coreZones()
 		w.addKeeper(fmt.Sprintf("k%d", i+1), core[i%len(core)])
 	}
+	for i := 0; i < site.Porters; i++ {
+		w.addKeeper(fmt.Sprintf("p%d", i+1), zones[i%3]).diskless = true
+	}
 	for i := 0; i < site.Gates; i++ {
 		w.addGate(fmt.Sprintf("g%d", i+1), zones[i%3])
 	}
--- a/sim/world.go
+++ b/sim/world.go
@@ -69,6 +69,8 @@
 	Faulty int64
 	// Zones is how many zones the keepers stand in, 0 for the usual three.
 	Zones int
+	// Porters is how many keepers there are besides, without a disk.
+	Porters int
 	// Elect is the least wait before an election in ms, 0 for the usual.
 	Elect ids.Span
 }
--- a/yard/break/main.go
+++ b/yard/break/main.go
@@ -85,6 +85,8 @@
 	{"killed once, never elected again", "raft/raft.go", "if now.Since(r.heard) >= r.wait && r.voter(r.id) {", "if now.Since(r.heard) >= r.wait && r.voter(r.id) && r.hard.Term == 0 {", []string{"./sim", "-run", "TestAllKilled"}, "all are back for 2 s", nil},
 	{"two of five commit", "raft/raft.go", "at := list[r.voters()/2]", "at := list[min(1, r.voters()/2)]", []string{"./raft", "-run", "TestChaosOfFive"}, "seed ", nil},
 	{"two of five's seats changed at once", "raft/raft.go", "r.commit < r.first || r.confs[len(r.confs)-1].index > r.commit", "false", []string{"./raft", "-run", "TestChaosOfFive"}, "seed ", nil},
+	{"a porter goes by a leader long gone", "keeper/porter.go", "now.Since(p.heard) > vouchLife", "p.heard < 0", []string{"./sim", "-run", "TestPorterPasses"}, "after the leader's end", nil},
+	{"a porter keeps to itself what it knows", "keeper/find.go", "\"porter\", 0, p.knows(), p.members", "\"porter\", 0, false, p.members", []string{"./sim", "-run", "TestPorters"}, "replaced, nobody leads", nil},
 	{"an agent's last word is taken for its runner's", "keeper/lead.go", "return now.Since(c.heard) > span || c.silent > span", "return c.quiet(now) > span", []string{"./keeper", "-run", "TestSilentThenCut"}, "TWICE", nil},
 	{"drained starts are kept", "keeper/health.go", "if never := m.never(); len(never) > 0 {", "if never := m.never(); len(never) > 1<<20 {", []string{"./keeper", "-run", "TestDraining"}, "is running", nil},
 	{"what stands still is left", "keeper/health.go", "return p.still+m.now.Since(c.heard) > span", "return false", []string{"./keeper", "-run", "TestStandsStill"}, "the job is running", nil},
