Sound polls are read in one pass, straight into an Ask

Now a scanner that knows the fields reads what is plainly sound and gives up at anything else, which the former reader then reads and names the faults of; so answers to faulty polls are what they were, word for word. Ruled out: a typed decode by encoding/json (folds case, takes doubled keys); a scanner with its own faults (two lists of words to keep alike).

--- a/poll/poll.go
+++ b/poll/poll.go
@@ -89,7 +89,8 @@
 	maxRoom  = 1 << 30
 )
 
-func Read(text []byte, f *doc.Faults) (a *Ask) {
+// readSlowly reads any poll, and names each of its faults.
+func readSlowly(text []byte, f *doc.Faults) (a *Ask) {
 	o := doc.Parse(text, f)
 	if o == nil {
 		return nil
--- /dev/null
+++ b/poll/scan.go
@@ -0,0 +1,362 @@
+// A poll comes once or twice a second from every runner, and nearly all are
+// sound. Those are read in one pass over the text, straight into an Ask. The
+// pass gives up at whatever is not plainly sound, and says nothing about why:
+// such a poll is read again by way of package doc, which names every fault.
+package poll
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"orchidward/doc"
+	"orchidward/ids"
+)
+
+// Read checks a poll and gathers its faults.
+func Read(text []byte, f *doc.Faults) (a *Ask) {
+	if a = scan(text); a != nil {
+		return a
+	}
+	return readSlowly(text, f)
+}
+
+// scanner reads JSON whose shape is known. Once bad, it stays so, and what it
+// returned means nothing.
+type scanner struct {
+	text string
+	at   int
+	bad  bool
+}
+
+// scan reads a sound poll, or gives nil.
+func scan(text []byte) (a *Ask) {
+	s := &scanner{text: string(text)}
+	a = &Ask{Mode: Active}
+	seen := s.object(askFields, func(i int) {
+		switch askFields[i] {
+		case "incarnation":
+			a.Inc = ids.Inc(strings.Clone(s.name()))
+		case "seq":
+			a.Seq = uint64(s.int(1, 1<<53))
+		case "cores":
+			a.Cores = s.int(0, maxRoom)
+		case "memMb":
+			a.Mem = s.int(0, maxRoom)
+		case "labels":
+			s.list(64, func() { a.Labels = append(a.Labels, ids.Label(s.name())) })
+		case "domain":
+			a.Domain = ids.Domain(s.name())
+		case "rack":
+			a.Rack = ids.Rack(s.name())
+		case "mode":
+			a.Mode = s.word(Active, Draining)
+		case "departsMs":
+			a.Departs = ids.Span(s.int(0, 1<<40))
+		case "running":
+			s.list(most, func() { a.Running = append(a.Running, ids.Grant(s.int(0, 1<<53))) })
+		case "ended":
+			s.list(most, func() { a.Ended = append(a.Ended, s.end()) })
+		case "agent":
+			a.Agent = s.bool()
+		default:
+			s.agentField(a, askFields[i])
+		}
+	})
+	s.space()
+	agent := seen.has(agentAt)
+	low := int64(1)
+	if agent {
+		low = 0
+	}
+	whole := seen&mustAsk == mustAsk && (agent || seen.has(rackAt)) && a.Cores >= low && a.Mem >= low
+	if s.bad || s.at != len(s.text) || !whole || !a.Agent && seen>>(agentAt+1) != 0 {
+		return nil
+	}
+	slices.Sort(a.Labels)
+	return a
+}
+
+// What stands after "agent" is for agents alone.
+var (
+	askFields  = []string{"incarnation", "seq", "cores", "memMb", "labels", "domain", "rack", "mode", "departsMs", "running", "ended", "agent", "milliCores", "gpus", "pool", "addr", "silentMs", "active", "finished", "gone", "left", "dead"}
+	endFields  = []string{"grant", "task", "how"}
+	runFields  = []string{"task", "run", "saved", "percent", "stillMs", "speed"}
+	overFields = []string{"n", "task", "run", "how", "saved"}
+	goneFields = []string{"task", "run"}
+	taskFields = []string{"job", "step", "num"}
+)
+
+// Places in askFields, and the fields that every poll has.
+const (
+	rackAt        = 6
+	agentAt       = 11
+	mustAsk given = 1<<0 | 1<<1 | 1<<2 | 1<<3 | 1<<5
+)
+
+func (s *scanner) agentField(a *Ask, name string) {
+	switch name {
+	case "milliCores":
+		a.Milli = s.int(0, maxRoom)
+	case "gpus":
+		a.GPUs = s.int(0, maxRoom)
+	case "pool":
+		a.Pool = s.string()
+	case "addr":
+		a.Addr = s.string()
+	case "silentMs":
+		a.Silent = ids.Span(s.int(0, 1<<40))
+	case "active":
+		s.list(most, func() { a.Active = append(a.Active, s.runState()) })
+	case "finished":
+		s.list(most, func() { a.Finished = append(a.Finished, s.runEnd()) })
+	case "gone":
+		s.list(most, func() { a.Gone = append(a.Gone, s.runStop()) })
+	case "left":
+		a.Left = s.bool()
+	case "dead":
+		a.Dead = s.bool()
+	}
+}
+
+func (s *scanner) end() (e End) {
+	seen := s.object(endFields, func(i int) {
+		switch endFields[i] {
+		case "grant":
+			e.Grant = ids.Grant(s.int(1, 1<<53))
+		case "task":
+			e.Task = s.task()
+		case "how":
+			e.How = s.word(Well, Defect, Stopped, Lapsed)
+		}
+	})
+	s.bad = s.bad || !seen.has(2)
+	return e
+}
+
+func (s *scanner) runState() (r RunState) {
+	s.object(runFields, func(i int) {
+		switch runFields[i] {
+		case "task":
+			r.Task = s.task()
+		case "run":
+			r.Run = uint64(s.int(0, 1<<53))
+		case "saved":
+			r.Saved = s.saved()
+		case "percent":
+			r.Percent = s.int(0, 1<<20)
+		case "stillMs":
+			r.Still = ids.Span(s.int(0, 1<<40))
+		case "speed":
+			r.Speed = s.int(0, 1<<30)
+		}
+	})
+	return r
+}
+
+func (s *scanner) runEnd() (e RunEnd) {
+	seen := s.object(overFields, func(i int) {
+		switch overFields[i] {
+		case "n":
+			e.N = uint64(s.int(1, 1<<53))
+		case "task":
+			e.Task = s.task()
+		case "run":
+			e.Run = uint64(s.int(0, 1<<53))
+		case "how":
+			e.How = s.word(Well, Defect, Stopped, Lapsed, Broken, Alone, Refused)
+		case "saved":
+			e.Saved = s.saved()
+		}
+	})
+	s.bad = s.bad || !seen.has(3)
+	return e
+}
+
+func (s *scanner) runStop() (r RunStop) {
+	s.object(goneFields, func(i int) {
+		switch goneFields[i] {
+		case "task":
+			r.Task = s.task()
+		case "run":
+			r.Run = uint64(s.int(0, 1<<53))
+		}
+	})
+	return r
+}
+
+func (s *scanner) task() (r ids.Ref) {
+	s.object(taskFields, func(i int) {
+		switch taskFields[i] {
+		case "job":
+			r.Job = ids.Key(s.string())
+		case "step":
+			r.Step = int(s.int(0, 1<<20))
+		case "num":
+			r.Num = int(s.int(0, 1<<20))
+		}
+	})
+	return r
+}
+
+// given is a set of an object's fields, by their places in its list.
+type given uint32
+
+func (g given) has(i int) (yes bool) { return g&(1<<i) != 0 }
+
+// object reads an object that has none but these fields, and each at most once.
+func (s *scanner) object(names []string, value func(i int)) (seen given) {
+	if s.token('{'); s.next('}') {
+		return 0
+	}
+	last := -1
+	for !s.bad {
+		key := s.string()
+		s.token(':')
+		// Fields mostly come in the order of the list.
+		i := last + 1
+		if i >= len(names) || names[i] != key {
+			i = slices.Index(names, key)
+		}
+		if s.bad || i < 0 || seen.has(i) {
+			s.bad = true
+			return seen
+		}
+		last = i
+		seen |= 1 << i
+		value(i)
+		if s.next('}') {
+			return seen
+		}
+		s.token(',')
+	}
+	return seen
+}
+
+// list reads a list of at most so many values.
+func (s *scanner) list(cap int, value func()) {
+	if s.token('['); s.next(']') {
+		return
+	}
+	for n := 1; !s.bad; n++ {
+		if n > cap {
+			s.bad = true
+			return
+		}
+		value()
+		if s.next(']') {
+			return
+		}
+		s.token(',')
+	}
+}
+
+func (s *scanner) space() {
+	for s.at < len(s.text) {
+		switch s.text[s.at] {
+		case ' ', '\t', '\r', '\n':
+			s.at++
+		default:
+			return
+		}
+	}
+}
+
+// next takes a token if it comes next.
+func (s *scanner) next(c byte) (ok bool) {
+	s.space()
+	if s.at >= len(s.text) || s.text[s.at] != c {
+		return false
+	}
+	s.at++
+	return true
+}
+
+func (s *scanner) token(c byte) { s.bad = !s.next(c) || s.bad }
+
+// string is a part of the text wherever that holds the string as it is.
+func (s *scanner) string() (out string) {
+	s.token('"')
+	from := s.at
+	plain := true
+	for ; s.at < len(s.text) && !s.bad; s.at++ {
+		switch c := s.text[s.at]; {
+		case c == '"':
+			s.at++
+			if plain {
+				return s.text[from : s.at-1]
+			}
+			return s.unquote(s.text[from-1 : s.at])
+		case c == '\\':
+			plain = false
+			s.at++
+		case c >= 0x80:
+			plain = false
+		case c < ' ':
+			s.bad = true
+		}
+	}
+	s.bad = true
+	return ""
+}
+
+func (s *scanner) unquote(quoted string) (out string) {
+	s.bad = json.Unmarshal([]byte(quoted), &out) != nil
+	return out
+}
+
+func (s *scanner) name() (out string) {
+	out = s.string()
+	s.bad = s.bad || !ids.Plain(out)
+	return out
+}
+
+func (s *scanner) saved() (out string) {
+	out = s.string()
+	s.bad = s.bad || len(out) > MaxSaved
+	return out
+}
+
+func (s *scanner) word(words ...string) (out string) {
+	out = s.string()
+	for _, w := range words {
+		if out == w {
+			return w
+		}
+	}
+	s.bad = true
+	return ""
+}
+
+// int reads a whole number without sign, point or exponent; none here may be
+// below 0, and 17 digits hold the greatest.
+func (s *scanner) int(low, high int64) (n int64) {
+	s.space()
+	from := s.at
+	for ; s.at < len(s.text) && s.text[s.at] >= '0' && s.text[s.at] <= '9'; s.at++ {
+		if s.at-from > 16 {
+			s.bad = true
+			return 0
+		}
+		n = n*10 + int64(s.text[s.at]-'0')
+	}
+	if s.at == from || s.at-from > 1 && s.text[from] == '0' || n < low || n > high {
+		s.bad = true
+		return 0
+	}
+	return n
+}
+
+func (s *scanner) bool() (yes bool) {
+	s.space()
+	switch rest := s.text[min(s.at, len(s.text)):]; {
+	case strings.HasPrefix(rest, "true"):
+		s.at += 4
+		return true
+	case strings.HasPrefix(rest, "false"):
+		s.at += 5
+		return false
+	}
+	s.bad = true
+	return false
+}
