Runners are looked over for work that stands still only when some may

Cause: health walked and sorted all grants of all runners every 100 ms, with two maps and the job for each, 19% of the leader's time at 600 agents. Now each poll leaves the moment before which none of its runs can have stood still for too long, and until then the runner is passed over. What is found and in which order is unchanged: the moment uses the least span, later polls only move it on, and past it the former look decides (TestStandsStill as before).

--- a/keeper/agents.go
+++ b/keeper/agents.go
@@ -4,6 +4,7 @@
 package keeper
 
 import (
+	"math"
 	"sort"
 
 	"orchidward/book"
@@ -25,6 +26,9 @@
 	rate  int64
 	rated ids.Mono
 	ill   ids.Mono
+	// doubt is until when no run of the last poll can have stood still for
+	// too long.
+	doubt ids.Mono
 	// old is the last progress of what ran on the former life of the runner.
 	old []book.Save
 }
@@ -77,6 +81,7 @@
 	if r := m.book.Runners[name]; r != nil && r.Inc == c.inc {
 		a.old = nil
 	}
+	a.doubt = math.MaxInt64
 	a.runs, a.saved, a.ends, a.stray = map[ids.Grant]poll.RunStop{}, map[ids.Grant]string{}, nil, nil
 	for _, one := range p.Active {
 		stop := poll.RunStop{Task: one.Task, Run: one.Run}
--- a/keeper/health.go
+++ b/keeper/health.go
@@ -24,7 +24,7 @@
 
 const (
 	healthGap = 100
-	// stillLeast is the least time without a move that is held against a run.
+	// stillLeast is what leastStill is for a run of no span.
 	stillLeast = 600
 	// restoring is how long a run may take to find its saved progress.
 	restoring = 800
@@ -46,6 +46,9 @@
 	if g == nil {
 		return
 	}
+	if s.Still > 0 {
+		a.doubt = min(a.doubt, m.now.Add(leastStill(g)-s.Still))
+	}
 	if p == nil {
 		a.paces[id] = &pace{from: s.Percent, percent: s.Percent, at: m.now, still: s.Still}
 		return
@@ -83,12 +86,15 @@
 // that it says no more.
 const whole = 99
 
+// leastStill is the least time without a move that is held against a run.
+func leastStill(g *book.Grant) (span ids.Span) { return stillLeast + g.Run/8 }
+
 // still tells whether a run has not moved for longer than any sound one would,
 // a slow one included: a hundredth of a slow run is some hundredths of its span.
 func (m *Machine) still(c *contact, p *pace, g *book.Grant) (yes bool) {
 	j := m.book.Jobs[g.Ref.Job]
 	st := j.Spec.Steps[g.Ref.Step]
-	span := stillLeast + g.Run/8
+	span := leastStill(g)
 	switch {
 	case p.still == 0 || st.Lasting:
 		return false
@@ -128,6 +134,9 @@
 		if c == nil || c.agent == nil || c.silent > 400 || m.now.Since(c.heard) > 1000 {
 			continue
 		}
+		if m.now <= c.agent.doubt && c.agent.rate >= slowRate {
+			continue
+		}
 		for _, id := range m.book.Runners[n].GrantIDs() {
 			p, g := c.agent.paces[id], m.book.Grants[id]
 			if p == nil || g.Stop != "" || len(late)+len(slow) >= mostMoves {
