A round of planning looks at runners only when something bids

Cause: every poll asks for a round, and each round went over all runners, their standing and freshness, also when no lane held a job: 12% of the leader's time at 600 agents. Book.Bids tells whether a lane or the displaced hold any; without, every loop of a round is empty, so its outcome is the same (TestNothingBids). With it, a runner is looked up once a round in place of three times, the span of freshness read once, and the bins lie side by side. Ruled out: holding rounds back at polls that change nothing: what a poll may change (freshness, pace, sickness) is spread over four files.

--- a/book/book.go
+++ b/book/book.go
@@ -198,6 +198,19 @@
 	return 0
 }
 
+// Bids tells whether any job has something to place, or has displaced work.
+func (b *Book) Bids() (yes bool) {
+	if !b.moved.Empty() {
+		return true
+	}
+	for _, l := range b.lanes {
+		if !l.aged.Empty() {
+			return true
+		}
+	}
+	return false
+}
+
 // NextStart is the soonest appointed start still to come.
 func (b *Book) NextStart() (at ids.Millis, ok bool) {
 	it := b.later.Iterator()
--- a/keeper/health.go
+++ b/keeper/health.go
@@ -186,11 +186,11 @@
 // the pool that are well; room is what was taken before.
 func (m *Machine) roomElsewhere(from ids.Runner, g *book.Grant, room map[ids.Runner]job.Demand) (ok bool) {
 	need := 1 + len(m.book.Partners(g))
-	pool := m.book.Runners[from].Pool
+	pool, fresh := m.book.Runners[from].Pool, m.fresh()
 	var at []ids.Runner
 	for _, n := range m.book.RunnerNames() {
 		r, c := m.book.Runners[n], m.lead.runners[n]
-		if n == from || r.Pool != pool || r.Gone || r.Fence() != "" || c == nil || c.agent == nil || c.agent.rate < slowRate || !m.fresh(n) {
+		if n == from || r.Pool != pool || r.Gone || r.Fence() != "" || c == nil || c.agent == nil || c.agent.rate < slowRate || !fresh(n) {
 			continue
 		}
 		free := r.Free().Minus(room[n])
--- a/keeper/lead.go
+++ b/keeper/lead.go
@@ -260,7 +260,7 @@
 		return
 	}
 	l.dirty, l.planned = false, m.now
-	out := plan.RoundWith(m.book, plan.View{Fresh: m.fresh, Pace: m.pace}, m.shelf)
+	out := plan.RoundWith(m.book, plan.View{Fresh: m.fresh(), Pace: m.pace}, m.shelf)
 	m.reason = out.Why
 	m.fare(out.Policies)
 	if len(out.Push) > 0 {
@@ -272,9 +272,12 @@
 	}
 }
 
-// fresh tells whether a runner has polled lately under its present
+// fresh gives a test of whether a runner has polled lately under its present
 // incarnation and is not on its way out.
-func (m *Machine) fresh(n ids.Runner) (ok bool) {
-	c := m.lead.runners[n]
-	return c != nil && c.known && !c.drain && c.inc == m.book.Runners[n].Inc && c.quiet(m.now) < 2*m.book.Table.Site("startMs") && !m.ill(c)
+func (m *Machine) fresh() (test func(n ids.Runner) (ok bool)) {
+	span := 2 * m.book.Table.Site("startMs")
+	return func(n ids.Runner) (ok bool) {
+		c := m.lead.runners[n]
+		return c != nil && c.known && !c.drain && c.inc == m.book.Runners[n].Inc && c.quiet(m.now) < span && !m.ill(c)
+	}
 }
--- a/plan/bin.go
+++ b/plan/bin.go
@@ -27,23 +27,28 @@
 func take(b *book.Book, fresh func(r ids.Runner) bool) (bins []*bin) {
 	leaving := map[ids.Rack]bool{}
 	mean := standing(b)
+	all := make([]*book.Runner, 0, len(b.RunnerNames()))
 	for _, name := range b.RunnerNames() {
 		r := b.Runners[name]
+		all = append(all, r)
 		if r.Drain {
 			leaving[r.Rack] = true
 		}
 	}
-	for _, name := range b.RunnerNames() {
-		r := b.Runners[name]
-		if r.Gone || b.Fenced(name) || !fresh(name) {
+	// The bins of a round lie side by side: they are gone through again and again.
+	room := make([]bin, 0, len(all))
+	bins = make([]*bin, 0, len(all))
+	for _, r := range all {
+		if r.Gone || r.Fence() != "" || !fresh(r.Name) {
 			continue
 		}
-		n := &bin{r: r, room: r.Free(), soft: leaving[r.Rack]}
+		n := bin{r: r, room: r.Free(), soft: leaving[r.Rack]}
 		n.trial = r.Bad >= 3 && rate(r) > 3*mean+50
 		if n.trial && r.Open() > 0 {
 			continue
 		}
-		bins = append(bins, n)
+		room = append(room, n)
+		bins = append(bins, &room[len(room)-1])
 	}
 	return bins
 }
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -81,6 +81,9 @@
 }
 
 func RoundWith(b *book.Book, v View, shelf *policy.Shelf) (out Out) {
+	if !b.Bids() {
+		return Out{Why: map[ids.Key]map[int]string{}, Policies: Policies{}}
+	}
 	bins, pools := sortOut(take(b, v.Fresh))
 	for _, list := range pools {
 		for _, n := range list {
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -231,3 +231,39 @@
 		})
 	}
 }
+
+// TestNothingBids: a round looks at the runners exactly as long as something
+// could be placed, were there room, and its outcome is whole without.
+func TestNothingBids(t *testing.T) {
+	b := site(t, 4, `{"a.weight":1}`)
+	asked := 0
+	round := func() (out Out) {
+		asked = 0
+		return Round(b, func(ids.Runner) bool { asked++; return true }, policy.NewShelf())
+	}
+	if out := round(); asked > 0 || out.Why == nil || out.Policies == nil || len(out.Puts)+len(out.Push)+len(out.Why)+len(out.Policies) > 0 {
+		t.Errorf("with no job at all: %d asked, %+v", asked, out)
+	}
+	hand(t, b, "x/1", "a", 0, job.Step{Name: "s", Tasks: 40, Demand: job.Demand{Cores: 1}})
+	if out := round(); asked != 4 || len(out.Puts) != 32 {
+		t.Errorf("40 wait: %d asked, %d placed", asked, len(out.Puts))
+	}
+	place(b)
+	if out := round(); asked != 4 || out.Why["x/1"][0] == "" {
+		t.Errorf("8 wait for room: %d asked, %+v", asked, out)
+	}
+	endAll(b, func(g *book.Grant) bool { return g.ID > 8 })
+	place(b)
+	if out := round(); asked > 0 || len(out.Why) > 0 {
+		t.Errorf("all placed: %d asked, %+v", asked, out)
+	}
+	endAll(b, func(*book.Grant) bool { return false })
+	if out := round(); asked > 0 || len(out.Why) > 0 {
+		t.Errorf("all ended: %d asked, %+v", asked, out)
+	}
+	for _, j := range b.Jobs {
+		if j.End != book.Well {
+			t.Errorf("%s is %s", j.Key, j.State())
+		}
+	}
+}
