What is kept of an agent's runs lasts from poll to poll

Cause: each poll made six maps anew and sought each run by name: two look-ups of the job by text, and one in each map. Runs mostly stay as they were, in their order. So a run is one record, found again by its place; it is sought by name only when it is new or its grant has ended. Contacts reuse their maps; orders go over a runner's grants unsorted and sort only what they hand out. That an open grant is its task's own is what finding by place rests on: agents_test's site now checks it for every open grant each 20 ms, in all its scenes. Ruled out: keeping the grants themselves: a dropped one would be looked through.

--- a/book/book.go
+++ b/book/book.go
@@ -246,6 +246,13 @@
 	clear(b.hot)
 }
 
+// Visit shows the runner's grants, in no order.
+func (r *Runner) Visit(see func(g *Grant)) {
+	for _, g := range r.grants {
+		see(g)
+	}
+}
+
 func (r *Runner) GrantIDs() (out []ids.Grant) {
 	out = make([]ids.Grant, 0, len(r.grants))
 	for id := range r.grants {
--- a/keeper/agents.go
+++ b/keeper/agents.go
@@ -14,13 +14,14 @@
 
 // agentSide is what the leader keeps of a runner that an agent speaks for.
 type agentSide struct {
-	runs   map[ids.Grant]poll.RunStop
-	saved  map[ids.Grant]string
+	// runs is what the last poll said of runs that the book knows, list the same
+	// in the poll's order.
+	runs   map[ids.Grant]*held
+	list   []*held
 	ends   []seenEnd
 	stray  []poll.RunStop
 	halted map[poll.RunStop]bool
 	told   uint64
-	paces  map[ids.Grant]*pace
 	// rate is how fast work goes here, in thousandths of what its estimates
 	// say; ill is until when nothing is placed here.
 	rate  int64
@@ -33,6 +34,16 @@
 	old []book.Save
 }
 
+// held is a run as agents name it, with the last progress told. seq is the
+// last poll that told of it.
+type held struct {
+	id    ids.Grant
+	stop  poll.RunStop
+	saved string
+	pace  *pace
+	seq   uint64
+}
+
 // seenEnd is an end the runner tells of; Grant is 0 for one nobody waits for.
 type seenEnd struct {
 	n     uint64
@@ -49,7 +60,7 @@
 }
 
 func newAgentSide(old []book.Save) (a *agentSide) {
-	return &agentSide{old: old, halted: map[poll.RunStop]bool{}, paces: map[ids.Grant]*pace{}, rate: 1000}
+	return &agentSide{old: old, runs: map[ids.Grant]*held{}, halted: map[poll.RunStop]bool{}, rate: 1000}
 }
 
 // saves lists the progress last told of what still counts as running.
@@ -59,12 +70,12 @@
 	}
 	list = c.agent.old
 	ordered := []ids.Grant{}
-	for id := range c.agent.saved {
+	for id := range c.agent.runs {
 		ordered = append(ordered, id)
 	}
 	sortGrants(ordered)
 	for _, id := range ordered {
-		if text := c.agent.saved[id]; text != "" && m.book.Grants[id] != nil {
+		if text := c.agent.runs[id].saved; text != "" && m.book.Grants[id] != nil {
 			list = append(list[:len(list):len(list)], book.Save{Grant: id, Saved: text})
 		}
 	}
@@ -82,21 +93,31 @@
 		a.old = nil
 	}
 	a.doubt = math.MaxInt64
-	a.runs, a.saved, a.ends, a.stray = map[ids.Grant]poll.RunStop{}, map[ids.Grant]string{}, nil, nil
+	a.ends, a.stray = a.ends[:0], a.stray[:0]
+	was, next := a.list, 0
+	a.list = make([]*held, 0, len(p.Active))
 	for _, one := range p.Active {
 		stop := poll.RunStop{Task: one.Task, Run: one.Run}
-		id, _, ok := m.book.Resolve(name, p.Inc, one.Task, one.Run)
-		if !ok {
-			a.stray = append(a.stray, stop)
-			continue
+		var h *held
+		if h, next = m.again(name, p.Inc, was, next, stop); h == nil {
+			id, _, ok := m.book.Resolve(name, p.Inc, one.Task, one.Run)
+			if !ok {
+				a.stray = append(a.stray, stop)
+				continue
+			}
+			if h = a.runs[id]; h == nil {
+				h = &held{id: id}
+				a.runs[id] = h
+			}
 		}
-		p.Running = append(p.Running, id)
-		a.runs[id], a.saved[id] = stop, one.Saved
-		m.progress(a, id, one)
-	}
-	for id := range a.paces {
-		if _, ok := a.runs[id]; !ok {
-			delete(a.paces, id)
+		h.stop, h.saved, h.seq = stop, one.Saved, p.Seq
+		a.list = append(a.list, h)
+		p.Running = append(p.Running, h.id)
+		m.progress(a, h, one)
+	}
+	for _, h := range was {
+		if h.seq != p.Seq {
+			delete(a.runs, h.id)
 		}
 	}
 	m.rated(a)
@@ -117,6 +138,25 @@
 	}
 }
 
+// ahead is how far to look for a run among those of the poll before.
+const ahead = 8
+
+// again finds a run among those of the poll before, which mostly come in the
+// same order, at or after next. It holds as long as its grant is open: a
+// task's grant is the open one.
+func (m *Machine) again(name ids.Runner, inc ids.Inc, was []*held, next int, stop poll.RunStop) (h *held, at int) {
+	for i := next; i < len(was) && i < next+ahead; i++ {
+		if was[i].stop != stop {
+			continue
+		}
+		if g := m.book.Grants[was[i].id]; g == nil || g.No != stop.Run || g.Runner != name || g.Inc != inc {
+			return nil, i + 1
+		}
+		return was[i], i + 1
+	}
+	return nil, next
+}
+
 // present tells whether the runner itself is there to be reported on. One that
 // has said farewell is counted lost at once.
 func (m *Machine) present(name ids.Runner, c *contact, p *poll.Ask) (yes bool) {
@@ -151,8 +191,10 @@
 	s := c.agent
 	fresh := len(a.Starts) > 0
 	for _, id := range a.Stops {
-		stop, ok := s.runs[id]
-		if g := m.book.Grants[id]; !ok && g != nil {
+		stop := poll.RunStop{}
+		if h := s.runs[id]; h != nil {
+			stop = h.stop
+		} else if g := m.book.Grants[id]; g != nil {
 			stop = poll.RunStop{Task: m.book.Named(g.Ref), Run: g.No}
 		}
 		a.Halts = append(a.Halts, stop)
--- a/keeper/agents_test.go
+++ b/keeper/agents_test.go
@@ -145,6 +145,7 @@
 		if s.now%20 == 0 {
 			s.keep.Tick(s.now, ids.Wall(1_800_000_000_000+int64(s.now)))
 			s.out()
+			s.named()
 			for _, h := range s.hands {
 				h.mach.Tick(s.now)
 				s.sends(h)
@@ -156,6 +157,17 @@
 	}
 }
 
+// named checks that every open grant is the one that its run's name leads to:
+// the keeper remembers what a name led to for as long as that grant is open.
+func (s *site) named() {
+	b := s.keep.Book()
+	for id, g := range b.Grants {
+		if at, ref, ok := b.Resolve(g.Runner, g.Inc, b.Named(g.Ref), g.No); !ok || at != id || ref != g.Ref {
+			s.t.Errorf("%d: %v, run %d, leads to %d, not to its open grant %d", s.now, g.Ref, g.No, at, id)
+		}
+	}
+}
+
 func (s *site) deliver(p post) {
 	for _, h := range s.hands {
 		if h.cut && (p.to == h.name || p.from == h.name) {
--- a/keeper/health.go
+++ b/keeper/health.go
@@ -41,8 +41,8 @@
 )
 
 // progress takes what a run says of itself.
-func (m *Machine) progress(a *agentSide, id ids.Grant, s poll.RunState) {
-	p, g := a.paces[id], m.book.Grants[id]
+func (m *Machine) progress(a *agentSide, h *held, s poll.RunState) {
+	p, g := h.pace, m.book.Grants[h.id]
 	if g == nil {
 		return
 	}
@@ -50,7 +50,7 @@
 		a.doubt = min(a.doubt, m.now.Add(leastStill(g)-s.Still))
 	}
 	if p == nil {
-		a.paces[id] = &pace{from: s.Percent, percent: s.Percent, at: m.now, still: s.Still}
+		h.pace = &pace{from: s.Percent, percent: s.Percent, at: m.now, still: s.Still}
 		return
 	}
 	p.still = s.Still
@@ -67,9 +67,9 @@
 // and say nothing of their own. Old evidence is forgotten.
 func (m *Machine) rated(a *agentSide) {
 	sum, n := int64(0), int64(0)
-	for id, p := range a.paces {
-		g := m.book.Grants[id]
-		if p.rate > 0 && g != nil && !spread(g, m.book.Partners(g)) {
+	for id, h := range a.runs {
+		p, g := h.pace, m.book.Grants[id]
+		if p != nil && p.rate > 0 && g != nil && !spread(g, m.book.Partners(g)) {
 			sum += min(p.rate, 2000)
 			n++
 		}
@@ -138,19 +138,19 @@
 			continue
 		}
 		for _, id := range m.book.Runners[n].GrantIDs() {
-			p, g := c.agent.paces[id], m.book.Grants[id]
-			if p == nil || g.Stop != "" || len(late)+len(slow) >= mostMoves {
+			h, g := c.agent.runs[id], m.book.Grants[id]
+			if h == nil || h.pace == nil || g.Stop != "" || len(late)+len(slow) >= mostMoves {
 				continue
 			}
-			if !m.still(c, p, g) {
-				if m.slower(c, p, g) && m.roomElsewhere(n, g, room) {
+			if !m.still(c, h.pace, g) {
+				if m.slower(c, h.pace, g) && m.roomElsewhere(n, g, room) {
 					slow = append(slow, id)
 				}
 				continue
 			}
 			late = append(late, id)
 			c.agent.ill = m.now.Add(illSpan)
-			m.event("stands-still", "runner", n, "task", g.Ref, "run", g.No, "percent", p.percent)
+			m.event("stands-still", "runner", n, "task", g.Ref, "run", g.No, "percent", h.pace.percent)
 		}
 	}
 	if len(slow) > 0 {
--- a/keeper/lead.go
+++ b/keeper/lead.go
@@ -44,15 +44,18 @@
 	known   bool
 	drain   bool
 	running map[ids.Grant]bool
-	told    map[ids.Grant]bool
-	ended   map[ids.Grant]poll.End
-	open    bool
-	peer    wire.Peer
-	id      uint64
-	since   ids.Mono
-	facts   ids.Index
-	ends    ids.Index
-	agent   *agentSide
+	// told are the runs that answers to this poll called whole; before, those
+	// that answers to the last one did.
+	told   map[ids.Grant]bool
+	before map[ids.Grant]bool
+	ended  map[ids.Grant]poll.End
+	open   bool
+	peer   wire.Peer
+	id     uint64
+	since  ids.Mono
+	facts  ids.Index
+	ends   ids.Index
+	agent  *agentSide
 }
 
 // quiet is how long nothing was heard of the runner itself.
--- a/keeper/polls.go
+++ b/keeper/polls.go
@@ -3,7 +3,9 @@
 package keeper
 
 import (
+	"cmp"
 	"encoding/json"
+	"slices"
 	"sort"
 
 	"orchidward/book"
@@ -65,8 +67,8 @@
 	if back {
 		c.since -= ids.Mono(m.book.Table.Site("startMs"))
 	}
-	was := c.told
-	c.running, c.ended, c.told = map[ids.Grant]bool{}, map[ids.Grant]poll.End{}, map[ids.Grant]bool{}
+	c.begin()
+	was := c.before
 	l.hot[name] = true
 	l.line = append(l.line, turn{name, id, m.now})
 	if p.Agent {
@@ -102,6 +104,18 @@
 	l.dirty = true
 }
 
+// begin empties what a poll says anew; what was told before it is kept aside.
+func (c *contact) begin() {
+	if c.running == nil {
+		c.running, c.ended, c.told, c.before = map[ids.Grant]bool{}, map[ids.Grant]poll.End{}, map[ids.Grant]bool{}, map[ids.Grant]bool{}
+		return
+	}
+	c.told, c.before = c.before, c.told
+	clear(c.running)
+	clear(c.ended)
+	clear(c.told)
+}
+
 // shut answers a poll that a later one has replaced.
 func (m *Machine) shut(c *contact) {
 	if c.open {
@@ -239,17 +253,17 @@
 	if r == nil || r.Inc != c.inc {
 		return
 	}
-	for _, id := range r.GrantIDs() {
-		g := m.book.Grants[id]
-		_, over := c.ended[id]
+	r.Visit(func(g *book.Grant) {
+		_, over := c.ended[g.ID]
 		switch {
 		case over:
 		case g.Stop != "":
-			a.Stops = append(a.Stops, id)
-		case !c.running[id] && !c.drain && r.Fence() == "":
-			a.Starts = append(a.Starts, poll.Start{Grant: id, Task: g.Ref, Demand: g.Demand, Run: g.Run, Gang: m.gangSpan(g), No: g.No})
+			a.Stops = append(a.Stops, g.ID)
+		case !c.running[g.ID] && !c.drain && r.Fence() == "":
+			a.Starts = append(a.Starts, poll.Start{Grant: g.ID, Task: g.Ref, Demand: g.Demand, Run: g.Run, Gang: m.gangSpan(g), No: g.No})
 		}
-	}
+	})
+	slices.SortFunc(a.Starts, func(x, y poll.Start) int { return cmp.Compare(x.Grant, y.Grant) })
 	for id := range c.running {
 		if m.book.Grants[id] == nil {
 			a.Stops = append(a.Stops, id)
