--- a/keeper/find.go
+++ b/keeper/find.go
@@ -18,12 +18,14 @@
 	next  ids.Mono
 	empty map[string]raft.Member
 	seen  map[string]ids.Mono
-	begun bool
-	ask   uint64
+	// porters are the seeds that have no disk, by their own word.
+	porters map[string]bool
+	begun   bool
+	ask     uint64
 }
 
 func newFind() (f *find) {
-	return &find{empty: map[string]raft.Member{}, seen: map[string]ids.Mono{}}
+	return &find{empty: map[string]raft.Member{}, seen: map[string]ids.Mono{}, porters: map[string]bool{}}
 }
 
 const (
@@ -57,8 +59,9 @@
 	m.found()
 }
 
-// found lays the first view when three distinct keepers, this one among them,
-// all said lately that they are empty.
+// found lays the first view when every seed has lately said that it is an empty
+// keeper, this one among them, or that it has no disk. Who has none is fixed, and
+// all have the same seeds at the first start, so that all come to the same group.
 func (m *Machine) found() {
 	if !m.boot.Found {
 		return
@@ -69,6 +72,9 @@
 		if at, ok := m.find.seen[s]; !ok || m.now.Since(at) > seekLife {
 			return
 		}
+		if m.find.porters[s] {
+			continue
+		}
 		mem := m.find.empty[s]
 		own = own || mem.ID == m.boot.ID
 		names[mem.ID] = true
@@ -136,8 +142,11 @@
 		m.join(from, t)
 		return
 	}
+	if t.Role == "porter" {
+		m.find.seen[string(from)], m.find.porters[string(from)] = m.now, true
+	}
 	if t.Role == "keeper" {
-		m.find.seen[string(from)] = m.now
+		m.find.seen[string(from)], m.find.porters[string(from)] = m.now, false
 		m.find.empty[string(from)] = raft.Member{ID: t.Node, Addr: t.Addr, Domain: t.Domain, Voter: true}
 	}
 }
--- a/sim/porter_test.go
+++ b/sim/porter_test.go
@@ -80,6 +80,42 @@
 	}})
 }
 
+// TestPorterSeeds: with one or two porters among the seeds the others found one
+// group, whatever order they come up in, and a keeper that is no seed joins it.
+func TestPorterSeeds(t *testing.T) {
+	t.Parallel()
+	for seed := int64(1); seed <= 6; seed++ {
+		site := Gilde()
+		site.Porters = 2
+		w := NewWorld(370+seed, site)
+		w.callers.stop = 0
+		w.seeds = []string{"k1", "k2", "p1"}
+		if seed%2 == 0 {
+			w.seeds = []string{"k2", "p2", "p1"}
+		}
+		for _, k := range w.keepers {
+			k.seeds = w.seeds
+		}
+		w.Run(20000)
+		founders := map[string]bool{}
+		for _, k := range w.keepers[:3] {
+			if k.mach.Raft() == nil {
+				t.Errorf("seed %d: %s has no group", seed, k.name)
+				continue
+			}
+			list := []string{}
+			for _, m := range k.mach.Raft().Members() {
+				list = append(list, fmt.Sprint(m.Addr, m.Voter))
+			}
+			sort.Strings(list)
+			founders[fmt.Sprint(list)] = true
+		}
+		if len(founders) != 1 || !founders["[k1true k2true k3true]"] {
+			t.Errorf("seed %d: %v", seed, founders)
+		}
+	}
+}
+
 // TestPorterPasses: what is asked of a porter the leader answers; with no leader
 // known the asker is told so at once.
 func TestPorterPasses(t *testing.T) {
