--- a/keeper/find.go
+++ b/keeper/find.go
@@ -22,15 +22,22 @@
 	porters map[string]bool
 	begun   bool
 	ask     uint64
+	// born is when this search began, stirred when a message among members of a
+	// group was last heard.
+	born, stirred ids.Mono
 }
 
-func newFind() (f *find) {
-	return &find{empty: map[string]raft.Member{}, seen: map[string]ids.Mono{}, porters: map[string]bool{}}
+func newFind(now ids.Mono) (f *find) {
+	return &find{born: now, empty: map[string]raft.Member{}, seen: map[string]ids.Mono{}, porters: map[string]bool{}}
 }
 
 const (
 	seekGap  = 300
 	seekLife = 1500
+	// stillMs is how long a keeper listens for a group before it founds one past
+	// seeds without a disk, and reportGap how often a leader tells the seeds.
+	stillMs   = 5000
+	reportGap = 1000
 )
 
 func (m *Machine) self(ask bool) (t *wire.Tell) {
@@ -80,13 +87,19 @@
 		names[mem.ID] = true
 		list = append(list, mem)
 	}
-	if !own || len(list) == 0 || len(names) != len(list) {
+	if !own || len(list) == 0 || len(names) != len(list) || len(list) < len(m.boot.Seeds) && !m.find.still(m.now) {
 		return
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	m.begin(list, 1)
 }
 
+// still tells whether, for long enough for a leader to make itself heard, no
+// group was. Seeds without a disk forget at a restart that there is one.
+func (f *find) still(now ids.Mono) (yes bool) {
+	return now.Since(f.born) >= stillMs && (f.stirred == 0 || now.Since(f.stirred) >= stillMs)
+}
+
 func (m *Machine) begin(list []raft.Member, at ids.Index) {
 	m.find.begun = true
 	v := &raft.View{Index: at, Term: ids.Term(at), Members: list, Data: m.first().Encode()}
@@ -118,9 +131,15 @@
 			m.edge[t.Addr] = m.now
 		}
 	}
+	if t.Ask && m.porter != nil && m.porter.unsure(m.now) {
+		m.learn(t)
+		return
+	}
 	if t.Ask {
 		m.send(from, wire.Msg{Tell: m.self(false)})
-		return
+		if m.find == nil || !t.Founded {
+			return
+		}
 	}
 	if m.porter != nil {
 		m.learn(t)
@@ -231,6 +250,24 @@
 	}
 }
 
+// report tells seeds that are no members where the group is: porters, which
+// forget it, and machines that have come back empty.
+func (m *Machine) report() {
+	if m.now.Since(m.lead.told) < reportGap {
+		return
+	}
+	m.lead.told = m.now
+	members := map[string]bool{}
+	for _, mem := range m.raft.Members() {
+		members[mem.Addr] = true
+	}
+	for _, s := range m.boot.Seeds {
+		if !members[s] {
+			m.send(wire.Peer(s), wire.Msg{Tell: m.self(false)})
+		}
+	}
+}
+
 // gateSeen notes that a gate lives; past the bound no more are taken in.
 func (m *Machine) gateSeen(http string) {
 	if _, known := m.gates[http]; known || http != "" && len(m.gates) < mostGates {
--- a/keeper/lead.go
+++ b/keeper/lead.go
@@ -33,6 +33,8 @@
 	beat    ids.Mono
 	// rose is when this lead began, enough when five members were last alive.
 	rose, enough ids.Mono
+	// told is when the seeds that are no members were last told of the group.
+	told ids.Mono
 }
 
 // contact is a runner as the leader has it in hand.
@@ -136,6 +138,7 @@
 	m.doubts()
 	m.health()
 	m.seats()
+	m.report()
 	m.raise()
 	m.check()
 	if at, ok := m.book.NextStart(); ok && l.clock.site(m.now) >= at || m.now.Since(l.beat) > 10000 {
--- a/keeper/machine.go
+++ b/keeper/machine.go
@@ -83,7 +83,7 @@
 
 func New(boot Boot, now ids.Mono) (m *Machine) {
 	m = &Machine{boot: boot, now: now, nextID: uint64(boot.Seed), gates: map[string]ids.Mono{}, edge: map[string]ids.Mono{}, waits: map[ids.Index]wait{}, relays: map[uint64]relay{},
-		find: newFind(), alone: now, reason: map[ids.Key]map[int]string{}, book: book.New(), shelf: policy.NewShelf(), fared: plan.Policies{}, Full: func() int { return 0 }}
+		find: newFind(now), alone: now, reason: map[ids.Key]map[int]string{}, book: book.New(), shelf: policy.NewShelf(), fared: plan.Policies{}, Full: func() int { return 0 }}
 	if boot.Diskless {
 		m.find, m.porter = nil, &porter{}
 	}
@@ -161,6 +161,8 @@
 	switch {
 	case msg.Tell != nil:
 		m.tell(from, msg.Tell)
+	case msg.Raft != nil && m.find != nil:
+		m.find.stirred = m.now
 	case msg.Raft != nil && m.raft != nil:
 		if msg.Raft.Kind == raft.Append || msg.Raft.Kind == raft.Load {
 			m.voice = voice{msg.Raft.From, from}
--- a/keeper/porter.go
+++ b/keeper/porter.go
@@ -17,6 +17,8 @@
 	lead    ids.Node
 	// heard is when a keeper last said that lead leads, own when that one did.
 	heard, own ids.Mono
+	// rumour is when a keeper was heard that is in a group, but has no leader.
+	rumour ids.Mono
 }
 
 const (
@@ -59,6 +61,12 @@
 	}
 }
 
+// unsure tells whether this porter can say neither where the group is nor that
+// there is none: then it says nothing.
+func (p *porter) unsure(now ids.Mono) (yes bool) {
+	return !p.knows() && p.rumour != 0 && now.Since(p.rumour) < stillMs
+}
+
 // known are the addresses of seeds and members, each once.
 func (p *porter) known(seeds []string) (list []string) {
 	seen := map[string]bool{}
@@ -90,6 +98,9 @@
 		if _, ok := p.leader(m.now); ok && m.now.Since(p.own) < ownLife {
 			return
 		}
+	case t.Role == "keeper":
+		p.rumour = m.now
+		return
 	default:
 		if !p.knows() {
 			p.members = t.Members
--- a/keeper/reseat_test.go
+++ b/keeper/reseat_test.go
@@ -110,8 +110,7 @@
 
 // TestReseatAnyGroup judges every change in groups drawn at random: it is of
 // one member, the live are a majority after it, nobody is promoted who is not
-// ready, and it comes to rest. With all alive and ready, no zone then holds a
-// majority where zones allow.
+// ready, and it comes to rest.
 func TestReseatAnyGroup(t *testing.T) {
 	rnd := rand.New(rand.NewSource(1))
 	changes := map[string]int{}
--- a/yard/break/main.go
+++ b/yard/break/main.go
@@ -87,6 +87,7 @@
 	{"two of five's seats changed at once", "raft/raft.go", "r.commit < r.first || r.confs[len(r.confs)-1].index > r.commit", "false", []string{"./raft", "-run", "TestChaosOfFive"}, "seed ", nil},
 	{"a porter goes by a leader long gone", "keeper/porter.go", "now.Since(p.heard) > vouchLife", "p.heard < 0", []string{"./sim", "-run", "TestPorterPasses"}, "after the leader's end", nil},
 	{"a porter keeps to itself what it knows", "keeper/find.go", "\"porter\", 0, p.knows(), p.members", "\"porter\", 0, false, p.members", []string{"./sim", "-run", "TestPorters"}, "replaced, nobody leads", nil},
+	{"founded without listening for a group", "keeper/find.go", "len(list) < len(m.boot.Seeds) && !m.find.still(m.now)", "false", []string{"./sim", "-run", "TestSeedWiped"}, "two groups", nil},
 	{"an agent's last word is taken for its runner's", "keeper/lead.go", "return now.Since(c.heard) > span || c.silent > span", "return c.quiet(now) > span", []string{"./keeper", "-run", "TestSilentThenCut"}, "TWICE", nil},
 	{"drained starts are kept", "keeper/health.go", "if never := m.never(); len(never) > 0 {", "if never := m.never(); len(never) > 1<<20 {", []string{"./keeper", "-run", "TestDraining"}, "is running", nil},
 	{"what stands still is left", "keeper/health.go", "return p.still+m.now.Since(c.heard) > span", "return false", []string{"./keeper", "-run", "TestStandsStill"}, "the job is running", nil},
