--- a/yard/break/main.go
+++ b/yard/break/main.go
@@ -33,7 +33,7 @@
 var wounds = []wound{
 	{"fence never goes up (zone)", "book/duty.go", "r.fence = id", "r.fence = \"\"", trial("closing"), "P2 at", nil},
 	{"fence never goes up (leaving)", "book/duty.go", "r.fence = id", "r.fence = \"\"", trial("leaving"), "P1 at", []edit{
-		{"keeper/polls.go", "case !c.running[id] && !c.drain && r.Fence() == \"\":", "case !c.running[id]:"}, {"keeper/lead.go", "c.known && !c.drain &&", "c.known &&"}}},
+		{"keeper/polls.go", "case !c.running[g.ID] && !c.drain && r.Fence() == \"\":", "case !c.running[g.ID]:"}, {"keeper/lead.go", "c.known && !c.drain &&", "c.known &&"}}},
 	{"re-placed before the grant is over", "keeper/lead.go", "return now.Since(c.heard) > grant+grant/10+1000", "return now.Since(c.heard) > 3000", trial("half|steps"), "P3 at", nil},
 	{"runner ignores its grant", "runner/machine.go", "lapsed := m.now.Since(m.contact) > m.grant", "lapsed := false", []string{"./sim", "-run", "TestCutOff"}, "P3 at", nil},
 	{"steps in any order", "book/job.go", "if j.Spec.Steps[i].Name == name && j.count[i].well < len(j.Steps[i]) {", "if j.Spec.Steps[i].Name == name && j.count[i].well < 0 {", trial("steps"), "P4 at", nil},
