--- a/keeper/health.go
+++ b/keeper/health.go
@@ -12,11 +12,10 @@
 )
 
 // pace is how a run has come along: how far it was when first seen and when it
-// last moved, and how long it had stood still at the last poll.
+// is now, and how long it had stood still at the last poll.
 type pace struct {
 	from    int64
 	percent int64
-	at      ids.Mono
 	still   ids.Span
 	// rate is how fast it goes, in thousandths of its estimate; 0 for unknown.
 	rate int64
@@ -50,13 +49,10 @@
 		a.doubt = min(a.doubt, m.now.Add(leastStill(g)-s.Still))
 	}
 	if p == nil {
-		h.pace = &pace{from: s.Percent, percent: s.Percent, at: m.now, still: s.Still}
+		h.pace = &pace{from: s.Percent, percent: s.Percent, still: s.Still}
 		return
 	}
-	p.still = s.Still
-	if s.Percent != p.percent {
-		p.percent, p.at = s.Percent, m.now
-	}
+	p.still, p.percent = s.Still, s.Percent
 	if p.rate = s.Speed * int64(g.Run) / 1000; s.Percent >= whole {
 		p.rate = 0
 	}
