--- a/internal/consensus/raft/peer.go
+++ b/internal/consensus/raft/peer.go
@@ -35,11 +35,13 @@
 
 // snapshotTransfer is a snapshot on its way to a peer, or none while snapshot is
 // nil. offset is the number of bytes that the peer has acknowledged, chunkSentAt
-// when the chunk behind them was sent, 0 if it was not.
+// when the chunk behind them was sent, 0 if it was not, and advancedAt when the
+// transfer began or offset last changed.
 type snapshotTransfer struct {
 	snapshot    *Snapshot
 	offset      int64
 	chunkSentAt clock.Monotonic
+	advancedAt  clock.Monotonic
 }
 
 // recordReply records what any reply says of its sender. Only a reply to a message
--- a/internal/consensus/raft/snapshot.go
+++ b/internal/consensus/raft/snapshot.go
@@ -84,6 +84,7 @@
 	if transfer.snapshot != nil && transfer.snapshot.Index == m.Index && m.Offset != transfer.offset {
 		transfer.offset = m.Offset
 		transfer.chunkSentAt = 0
+		transfer.advancedAt = r.now
 		r.sendSnapshot(m.From, p, true)
 	}
 }
@@ -94,7 +95,7 @@
 func (r *Raft) sendSnapshot(to identifier.Node, p *peer, heartbeat bool) {
 	superseded := p.transfer.snapshot != r.log.snapshot
 	if p.transfer.snapshot == nil || superseded && r.unresponsive(p) {
-		p.transfer = snapshotTransfer{snapshot: r.log.snapshot}
+		p.transfer = snapshotTransfer{snapshot: r.log.snapshot, advancedAt: r.now}
 	}
 	chunkBytes := int64(snapshotChunkBytes)
 	if p.transfer.awaitingReply(r.now, r.timing.ElectionTimeout) {
--- a/internal/consensus/raft/status.go
+++ b/internal/consensus/raft/status.go
@@ -27,6 +27,28 @@
 	Level uint16
 	// Leaving says that the member has announced that it stops soon.
 	Leaving bool
+	// Transfer is the snapshot on its way to the member; its Index is 0 for none.
+	Transfer TransferStatus
+}
+
+// TransferStatus is how far the transfer of a snapshot has come.
+type TransferStatus struct {
+	// Index is the last entry that the snapshot covers.
+	Index identifier.Index
+	// Acknowledged of Total bytes are known to have arrived.
+	Acknowledged int64
+	Total        int64
+	// UnchangedFor is how long ago the transfer began or Acknowledged last changed.
+	UnchangedFor clock.Millis
+}
+
+// IncomingSnapshot is the snapshot that this member is being sent: the last entry it
+// covers and how many of its bytes have arrived. It is not ok while there is none.
+func (r *Raft) IncomingSnapshot() (index identifier.Index, received int64, ok bool) {
+	if r.incoming.snapshot == nil {
+		return 0, 0, false
+	}
+	return r.incoming.snapshot.Index, r.incoming.size(), true
 }
 
 // MemberStatuses lists the other members as the leader sees them, none on any
@@ -53,5 +75,18 @@
 		ClusterTimeTerm: p.evidence.clusterTimeTerm,
 		Level:           p.level,
 		Leaving:         p.leaving,
+		Transfer:        p.transfer.status(now),
+	}
+}
+
+func (t *snapshotTransfer) status(now clock.Monotonic) TransferStatus {
+	if t.snapshot == nil {
+		return TransferStatus{}
+	}
+	return TransferStatus{
+		Index:        t.snapshot.Index,
+		Acknowledged: t.offset,
+		Total:        int64(len(t.snapshot.Data)),
+		UnchangedFor: now.Since(t.advancedAt),
 	}
 }
--- a/internal/controlplane/leader.go
+++ b/internal/controlplane/leader.go
@@ -41,6 +41,10 @@
 	lastTimeEntry   clock.Monotonic
 	// maxVotersLiveAt is when maxVoters members were last alive.
 	maxVotersLiveAt clock.Monotonic
+	// transfers are the transfers of snapshots under way, as the log reported them.
+	transfers map[identifier.Node]observedTransfer
+	// requests counts what this leader was asked since the log last said so.
+	requests requestCounts
 	// seedsAnnouncedAt is when the seeds that are no members were last told of the group.
 	seedsAnnouncedAt clock.Monotonic
 }
@@ -58,6 +62,8 @@
 		drains:          newDrainProgress(),
 		cycle:           schedulingCycle{needed: true, lastAt: -clock.Monotonic(schedulingInterval)},
 		maxVotersLiveAt: s.now,
+		transfers:       map[identifier.Node]observedTransfer{},
+		requests:        requestCounts{since: s.now},
 	}
 	for _, name := range s.state.RunnerNames() {
 		s.leader.runners[name] = &runnerContact{incarnation: s.state.Runners[name].Incarnation, lastHeard: s.now}
@@ -95,6 +101,8 @@
 	s.revokeUnhealthyRuns()
 	s.changeMembership()
 	s.announceToSeeds()
+	s.logTransfers()
+	s.logRequestCounts()
 	s.raiseLevel()
 	s.proposeChecksum()
 	s.commitClusterTime()
--- a/internal/controlplane/leader_link.go
+++ b/internal/controlplane/leader_link.go
@@ -67,10 +67,13 @@
 	}
 }
 
-// answered notes a response or a sign of life.
-func (l *leaderLink) answered(now clock.Monotonic) {
+// answered notes a response or a sign of life, and reports whether the leader had
+// been lost.
+func (l *leaderLink) answered(now clock.Monotonic) (wasLost bool) {
+	wasLost = l.lost
 	l.heardAt = now
 	l.lost = false
+	return wasLost
 }
 
 // silentFor is how long the leader has owed an answer.
@@ -142,3 +145,10 @@
 		s.failForwardedExcept("")
 	}
 }
+
+// leaderAnswered notes that the leader has answered something.
+func (s *Server) leaderAnswered() {
+	if s.leaderLink.answered(s.now) {
+		s.logEvent("leader-reachable", "leader", s.leaderLink.leader)
+	}
+}
--- a/internal/controlplane/requests.go
+++ b/internal/controlplane/requests.go
@@ -28,7 +28,12 @@
 		s.forward(from, r)
 		return
 	}
+	s.leader.requests.all++
+	if !from.Local() {
+		s.leader.requests.remote++
+	}
 	if s.orderExpired(r) {
+		s.leader.requests.expired++
 		s.replyExpired(from, r.ID)
 		return
 	}
@@ -47,6 +52,7 @@
 	case target.Kind == endpoint.SyncGateway:
 		s.handleSync(request)
 	case r.Epoch != 0 && r.Epoch != s.state.Limits.Epoch:
+		s.leader.requests.stale++
 		s.replyStale(from, r)
 	case err != nil:
 		s.replyError(from, r.ID, endpointError(err))
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -43,9 +43,11 @@
 	state              *state.Store
 	appliedIndex       identifier.Index
 	bytesSinceSnapshot int64
-	clusterTime        carriedTime
-	checksums          recentChecksums
-	routing            routingState
+	// incomingIndex is the last snapshot whose arrival was logged.
+	incomingIndex identifier.Index
+	clusterTime   carriedTime
+	checksums     recentChecksums
+	routing       routingState
 
 	// proposals are requests that wait for their entry, forwarded those that wait for
 	// the leader's response.
@@ -164,6 +166,7 @@
 	s.updateLeadership()
 	s.forgetExpired()
 	s.searchForGroup()
+	s.logIncomingSnapshot()
 	if s.leader != nil {
 		s.runPeriodicTasks()
 	}
@@ -178,7 +181,7 @@
 	}
 	s.advanceClocks(now, wall)
 	if from == s.leaderLink.leader && (msg.Announcement != nil || msg.Response != nil) {
-		s.leaderLink.answered(s.now)
+		s.leaderAnswered()
 	}
 	switch {
 	case msg.Announcement != nil:
--- /dev/null
+++ b/internal/controlplane/transfer_log.go
@@ -0,0 +1,74 @@
+package controlplane
+
+import (
+	"orchidward/internal/api/identifier"
+	"orchidward/internal/clock"
+	"orchidward/internal/consensus/raft"
+)
+
+const (
+	// transferStalledAfter is how long the transfer of a snapshot may stand still
+	// before the log says so, and transferStalledInterval how often it says so again.
+	transferStalledAfter    clock.Millis = 2000
+	transferStalledInterval clock.Millis = 10000
+)
+
+// observedTransfer is the transfer of a snapshot to one member as the log last
+// reported it.
+type observedTransfer struct {
+	index       identifier.Index
+	since       clock.Monotonic
+	stalledAt   clock.Monotonic
+	wasReported bool
+}
+
+// logTransfers logs when the transfer of a snapshot to a member begins, stands still
+// and ends: at most one line for each of them, and one every transferStalledInterval
+// while it stands still.
+func (s *Server) logTransfers() {
+	observed := map[identifier.Node]observedTransfer{}
+	for _, status := range s.raft.MemberStatuses() {
+		if transfer := s.logTransfer(status); transfer.index != 0 {
+			observed[status.ID] = transfer
+		}
+	}
+	s.leader.transfers = observed
+}
+
+// logTransfer logs what has happened to the transfer to one member, and returns the one
+// under way, whose index is 0 for none.
+func (s *Server) logTransfer(status raft.MemberStatus) observedTransfer {
+	transfer := status.Transfer
+	last, known := s.leader.transfers[status.ID]
+	if known && last.index != transfer.Index {
+		s.logEvent("snapshot-transfer-ended", "node", status.ID, "index", last.index,
+			"tookMs", s.now.Since(last.since), "superseded", transfer.Index != 0, "match", status.Match)
+		known = false
+	}
+	if transfer.Index == 0 {
+		return observedTransfer{}
+	}
+	if !known {
+		last = observedTransfer{index: transfer.Index, since: s.now}
+		s.logEvent("snapshot-transfer", "node", status.ID, "index", transfer.Index, "bytes", transfer.Total)
+	}
+	due := !last.wasReported || s.now.Since(last.stalledAt) >= transferStalledInterval
+	if transfer.UnchangedFor >= transferStalledAfter && due {
+		last.stalledAt = s.now
+		last.wasReported = true
+		s.logEvent("snapshot-transfer-stalled", "node", status.ID, "index", transfer.Index,
+			"acknowledged", transfer.Acknowledged, "bytes", transfer.Total,
+			"unchangedMs", transfer.UnchangedFor, "silentMs", status.SilentFor)
+	}
+	return last
+}
+
+// logIncomingSnapshot logs, once for each snapshot, that its chunks arrive here.
+func (s *Server) logIncomingSnapshot() {
+	index, received, ok := s.raft.IncomingSnapshot()
+	if !ok || index == s.incomingIndex {
+		return
+	}
+	s.incomingIndex = index
+	s.logEvent("snapshot-receiving", "index", index, "received", received)
+}
--- /dev/null
+++ b/internal/controlplane/transfer_log_test.go
@@ -0,0 +1,105 @@
+package controlplane_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"orchidward/internal/api/endpoint"
+	"orchidward/internal/api/identifier"
+	"orchidward/internal/clock"
+	"orchidward/internal/consensus/raft"
+	"orchidward/internal/controlplane"
+	"orchidward/internal/transport/wire"
+)
+
+// joiner is a server with an empty disk that has asked a lone leader to be taken in.
+const (
+	joinerID   identifier.Node = 2
+	joinerAddr                 = "j"
+)
+
+// eventCounter runs a lone leader and counts what it logs by the name of the event.
+type eventCounter struct {
+	server *controlplane.Server
+	now    clock.Monotonic
+	counts map[string]int
+	// toJoiner are the messages of the consensus to the joiner so far.
+	toJoiner []*raft.Message
+}
+
+func (c *eventCounter) run(span clock.Millis) {
+	for end := c.now.Add(span); c.now < end; c.now = c.now.Add(controlplane.TickInterval) {
+		c.server.Tick(c.now, wallTime(c.now))
+		c.collect()
+	}
+}
+
+func (c *eventCounter) handle(message wire.Message) {
+	c.server.HandleMessage(joinerAddr, message, c.now, wallTime(c.now))
+	c.collect()
+}
+
+// collect takes the output, and syncs at once what is to be written.
+func (c *eventCounter) collect() {
+	for more := true; more; {
+		output := c.server.TakeOutput()
+		more = len(output.Writes) > 0
+		for _, event := range output.Events {
+			c.counts[event.Name]++
+		}
+		for _, envelope := range output.Messages {
+			if envelope.To == joinerAddr && envelope.Message.Raft != nil {
+				c.toJoiner = append(c.toJoiner, envelope.Message.Raft)
+			}
+		}
+		for _, write := range output.Writes {
+			c.server.Synced(write.Seq, c.now, wallTime(c.now))
+		}
+	}
+}
+
+// reply answers the latest message to the joiner.
+func (c *eventCounter) reply(reply raft.Message) {
+	latest := c.toJoiner[len(c.toJoiner)-1]
+	reply.From = joinerID
+	reply.To = latest.From
+	reply.Term = latest.Term
+	reply.SentAt = latest.SentAt
+	c.handle(wire.Message{Raft: &reply})
+}
+
+// TestTransferLogged checks that the log says when the transfer of a snapshot begins, that
+// it stands still, and that it ends; that a transfer which stands still is not mentioned
+// with every tick; and how many requests the leader had.
+func TestTransferLogged(t *testing.T) {
+	c := &eventCounter{server: newLoneServer(t), counts: map[string]int{}}
+	c.run(clock.Millis(electionPeriod))
+	body := fmt.Appendf(nil, `{"id":%q,"addr":%q,"domain":"b","level":%d}`, joinerID, joinerAddr, 99)
+	c.handle(wire.Message{Request: &wire.Request{ID: 1, Method: endpoint.MethodJoin, Path: "/", Body: body, Budget: requestTimeout}})
+	c.run(200)
+	if len(c.toJoiner) == 0 {
+		t.Fatal("nothing was sent to the joiner")
+	}
+	c.reply(raft.Message{Kind: raft.AppendReply, Reject: true, Index: c.toJoiner[0].Index})
+	if !slices.ContainsFunc(c.toJoiner, func(m *raft.Message) bool { return m.Kind == raft.InstallSnapshot }) {
+		t.Fatal("no snapshot was sent")
+	}
+	c.run(1000)
+	if c.counts["snapshot-transfer"] != 1 || c.counts["snapshot-transfer-stalled"] != 0 {
+		t.Errorf("after a second: %v", c.counts)
+	}
+	c.run(8000)
+	if c.counts["snapshot-transfer"] != 1 || c.counts["snapshot-transfer-stalled"] != 1 {
+		t.Errorf("after nine seconds without an acknowledgement: %v", c.counts)
+	}
+	c.reply(raft.Message{Kind: raft.AppendReply, Index: c.server.Raft().SnapshotIndex()})
+	c.run(200)
+	if c.counts["snapshot-transfer-ended"] != 1 {
+		t.Errorf("after the acknowledgement: %v", c.counts)
+	}
+	c.run(3000)
+	if c.counts["leader-requests"] != 1 {
+		t.Errorf("one request within ten seconds is mentioned %d times", c.counts["leader-requests"])
+	}
+}
--- a/internal/daemon/agentd/daemon.go
+++ b/internal/daemon/agentd/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/fx"
 
@@ -12,7 +13,9 @@
 	"orchidward/internal/clock"
 	"orchidward/internal/daemon/eventloop"
 	"orchidward/internal/daemon/lifecycle"
+	"orchidward/internal/daemon/linkmonitor"
 	"orchidward/internal/daemon/logging"
+	"orchidward/internal/transport/httpserver"
 	"orchidward/internal/transport/link"
 	"orchidward/internal/transport/wire"
 )
@@ -34,6 +37,8 @@
 	link  *link.Link
 	agent *agent.Agent
 	loop  *eventloop.Loop[*agent.Agent]
+	// connections reports on the link.
+	connections *linkmonitor.Monitor
 }
 
 // New opens the agent's address. The agent begins, and ends, with the process.
@@ -46,6 +51,7 @@
 	if d.link, err = link.Listen(settings.Agent.Addr, group); err != nil {
 		return nil, err
 	}
+	d.connections = linkmonitor.New(d.link, log, httpserver.NewGauges())
 	log.Event("start", "program", "agent", "name", settings.Agent.Name, "addr", settings.Agent.Addr, "domain", settings.Agent.Domain)
 	hooks.Append(fx.Hook{OnStart: func(context.Context) error {
 		d.link.Serve(d.loop.Receive)
@@ -58,12 +64,17 @@
 func (d *Daemon) run(stop <-chan struct{}) {
 	d.loop.Run(stop, eventloop.Handlers{
 		TickInterval: agent.TickInterval.Duration(),
-		Tick:         func() { d.agent.Tick(d.clock.Now()) },
+		Tick:         d.tick,
 		Message:      d.handleMessage,
 		AfterInput:   d.handOnOutput,
 	})
 }
 
+func (d *Daemon) tick() {
+	d.agent.Tick(d.clock.Now())
+	d.connections.Tick(time.Now())
+}
+
 func (d *Daemon) handleMessage(from wire.Peer, msg wire.Message) {
 	d.agent.HandleMessage(from, msg, d.clock.Now())
 }
--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/fx"
 
@@ -14,6 +15,7 @@
 	"orchidward/internal/clock"
 	"orchidward/internal/daemon/eventloop"
 	"orchidward/internal/daemon/lifecycle"
+	"orchidward/internal/daemon/linkmonitor"
 	"orchidward/internal/daemon/logging"
 	"orchidward/internal/gateway"
 	"orchidward/internal/transport/httpserver"
@@ -41,12 +43,14 @@
 
 // Daemon runs a gateway.Gateway. It is safe for concurrent use.
 type Daemon struct {
-	log     *logging.Logger
-	clock   *clock.System
-	link    *link.Link
-	gauges  *httpserver.Gauges
-	gateway *gateway.Gateway
-	loop    *eventloop.Loop[*gateway.Gateway]
+	log    *logging.Logger
+	clock  *clock.System
+	link   *link.Link
+	gauges *httpserver.Gauges
+	// connections reports on the link.
+	connections *linkmonitor.Monitor
+	gateway     *gateway.Gateway
+	loop        *eventloop.Loop[*gateway.Gateway]
 	// http is nil for a gateway without an HTTP side of its own.
 	http         *httpserver.Server
 	maxBodyBytes int64
@@ -73,6 +77,7 @@
 		return nil, err
 	}
 	begin := func() {
+		d.connections = linkmonitor.New(d.link, log, d.gauges)
 		d.link.Serve(d.loop.Receive)
 		group.Go(d.run)
 	}
@@ -151,13 +156,12 @@
 		d.http.SetReady(ready)
 	}
 	counts := d.gateway.Counts
-	sent, dropped := d.link.FrameCounts()
 	d.gauges.Set("table_epoch", float64(d.gateway.Epoch()))
 	d.gauges.Set("requests_in_flight", float64(d.gateway.InFlight()))
 	d.gauges.Set("requests", float64(counts.Received))
 	d.gauges.Set("requests_refused_here", float64(counts.Refused))
 	d.gauges.Set("requests_returned_stale", float64(counts.Stale))
 	d.gauges.Set("requests_redirected", float64(counts.Redirected))
-	d.gauges.Set("frames_sent", float64(sent))
-	d.gauges.Set("frames_dropped", float64(dropped))
+	d.gauges.Set("syncs_unanswered", float64(counts.SyncsUnanswered))
+	d.connections.Tick(time.Now())
 }
--- a/internal/daemon/serverd/daemon.go
+++ b/internal/daemon/serverd/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/fx"
@@ -14,6 +15,7 @@
 	"orchidward/internal/controlplane"
 	"orchidward/internal/daemon/eventloop"
 	"orchidward/internal/daemon/lifecycle"
+	"orchidward/internal/daemon/linkmonitor"
 	"orchidward/internal/daemon/logging"
 	"orchidward/internal/inflight"
 	"orchidward/internal/transport/httpserver"
@@ -35,8 +37,10 @@
 	clock  *clock.System
 	link   *link.Link
 	gauges *httpserver.Gauges
-	server *controlplane.Server
-	loop   *eventloop.Loop[*controlplane.Server]
+	// connections reports on the link.
+	connections *linkmonitor.Monitor
+	server      *controlplane.Server
+	loop        *eventloop.Loop[*controlplane.Server]
 	// http is nil for a server without pages of its own.
 	http     *httpserver.Server
 	shutdown fx.Shutdowner
@@ -106,6 +110,7 @@
 // there is one.
 func (d *Daemon) begin(settings Settings, group *lifecycle.Group, hooks fx.Lifecycle, id identifier.Node) error {
 	begin := func() {
+		d.connections = linkmonitor.New(d.link, d.log, d.gauges)
 		d.link.Serve(d.loop.Receive)
 		group.Go(d.store.run)
 		group.Go(d.run)
@@ -146,6 +151,7 @@
 	d.server.Tick(d.clock.Now(), d.clock.Wall())
 	d.requests.Tick(d.clock.Now(), d.server.Connected())
 	d.updateMetrics()
+	d.connections.Tick(time.Now())
 }
 
 func (d *Daemon) handleMessage(from wire.Peer, msg wire.Message) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,14 +33,15 @@
 }
 
 // Counts are numbers for the metrics page, since the start: requests that came in, were
-// answered, and were answered with an error of the gateway's own; and responses of servers
-// that said that the table is stale, or that they do not lead.
+// answered, and were answered with an error of the gateway's own; responses of servers
+// that said that the table is stale, or that they do not lead; and syncs without a response.
 type Counts struct {
-	Received   uint64
-	Answered   uint64
-	Refused    uint64
-	Stale      uint64
-	Redirected uint64
+	Received        uint64
+	Answered        uint64
+	Refused         uint64
+	Stale           uint64
+	Redirected      uint64
+	SyncsUnanswered uint64
 }
 
 // New makes a gateway that knows no table and no leader yet; it is not ready until it has
@@ -109,6 +110,7 @@
 	g.announce()
 	g.syncIfDue()
 	if !g.Ready(g.now) {
+		g.logOutOfTouch()
 		g.failAll()
 		return
 	}
--- a/internal/gateway/leader_sync.go
+++ b/internal/gateway/leader_sync.go
@@ -21,6 +21,10 @@
 	// leaderHeardAt is when the last sync was sent that the leader has answered.
 	leaderHeardAt clock.Monotonic
 	lastAnnounce  clock.Monotonic
+	// inTouch says that the log's last word is that the leader was in touch, and
+	// unanswered counts the syncs without a response since it last was.
+	inTouch    bool
+	unanswered int
 }
 
 // syncRequest is a sync under way; after is the name after which its page begins.
@@ -72,6 +76,8 @@
 func (g *Gateway) syncIfDue() {
 	sync := &g.sync
 	if sync.request != nil && g.now.Since(sync.request.sentAt) > syncTimeout {
+		g.Counts.SyncsUnanswered++
+		sync.unanswered++
 		g.servers.failed(sync.request.to, g.now)
 		sync.request = nil
 	}
@@ -181,7 +187,9 @@
 	wasReady := g.Ready(g.now)
 	g.sync.leaderHeardAt = max(g.sync.leaderHeardAt, sync.sentAt)
 	g.updateServers(&response)
+	g.sync.unanswered = 0
 	if !wasReady && g.Ready(g.now) {
+		g.sync.inTouch = true
 		g.logEvent("in-touch", "via", sync.to, "leader", response.Leader, "epoch", g.Epoch())
 	}
 	if best := g.servers.choose(g.now); best != sync.to {
@@ -201,3 +209,14 @@
 		g.servers.target = ""
 	}
 }
+
+// logOutOfTouch logs, once, that contact with the leader was lost: how long ago the last
+// sync that it answered was sent, how many got no response since, and who was asked last.
+func (g *Gateway) logOutOfTouch() {
+	if !g.sync.inTouch {
+		return
+	}
+	g.sync.inTouch = false
+	g.logEvent("out-of-touch", "silentMs", g.now.Since(g.sync.leaderHeardAt),
+		"unanswered", g.sync.unanswered, "target", g.servers.target, "leader", g.servers.leaderID.String())
+}
--- a/internal/gateway/leader_sync_test.go
+++ b/internal/gateway/leader_sync_test.go
@@ -57,3 +57,24 @@
 		t.Errorf("caught up to %d of %d, and behind: %v", g.Epoch(), leader.table.Epoch, g.Behind())
 	}
 }
+
+// TestContactLossLogged checks that a gateway logs once that the leader is out of touch, and
+// counts the syncs without a response.
+func TestContactLossLogged(t *testing.T) {
+	leader := newFakeLeader(t, 3)
+	g := leader.gateway
+	leader.run(400)
+	g.TakeOutput()
+	lost := 0
+	for end := leader.now + 5000; leader.now < end; leader.now += clock.Monotonic(TickInterval) {
+		g.Tick(leader.now)
+		for _, event := range g.TakeOutput().Events {
+			if event.Name == "out-of-touch" {
+				lost++
+			}
+		}
+	}
+	if lost != 1 || g.Counts.SyncsUnanswered < 5 {
+		t.Errorf("logged %d times, %d syncs without a response", lost, g.Counts.SyncsUnanswered)
+	}
+}
--- a/internal/transport/link/connection.go
+++ b/internal/transport/link/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -30,6 +31,9 @@
 type connection struct {
 	queue *lifecycle.Queue[wire.Message]
 	conn  net.Conn
+	// taken counts the messages that were taken off the queue, to be sent or dropped.
+	taken    atomic.Uint64
+	progress queueProgress
 }
 
 func newConnection() *connection {
@@ -42,6 +46,7 @@
 	for {
 		select {
 		case <-c.queue.Out():
+			c.taken.Add(1)
 		default:
 			return
 		}
@@ -67,6 +72,7 @@
 		return
 	}
 	l.accepted++
+	l.counts.Accepted++
 	peer := wire.AcceptedPeer(l.accepted)
 	c := newConnection()
 	c.conn = conn
@@ -95,6 +101,9 @@
 		if err == nil && l.runDialled(to, c, conn, stop) {
 			return
 		}
+		if err != nil {
+			l.countDialFailure()
+		}
 		c.discard()
 		select {
 		case <-stop:
@@ -108,6 +117,12 @@
 	}
 }
 
+func (l *Link) countDialFailure() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts.DialFailures++
+}
+
 // runDialled runs a connection until it ends, and reports whether it is not to be
 // dialled again: it was idle, or the link is closed.
 func (l *Link) runDialled(to wire.Peer, c *connection, conn net.Conn, stop <-chan struct{}) bool {
@@ -129,6 +144,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.conn = conn
+	l.counts.Dialled++
 	return !l.closed
 }
 
@@ -147,6 +163,7 @@
 		case <-timer.C:
 			return true
 		case message := <-c.queue.Out():
+			c.taken.Add(1)
 			conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 			err := encoder.Encode(message)
 			if err == nil && c.queue.Len() == 0 {
--- a/internal/transport/link/link.go
+++ b/internal/transport/link/link.go
@@ -31,8 +31,20 @@
 	// accepted counts the connections that were accepted so far.
 	accepted uint64
 	closed   bool
-	sent     uint64
-	dropped  uint64
+	counts   Counts
+}
+
+// Counts are numbers of a link since its start.
+type Counts struct {
+	// Sent messages were accepted for sending, Dropped ones were not sent, because their
+	// queue was full or their peer could not be dialled. A message whose queue is full
+	// counts as both.
+	Sent    uint64
+	Dropped uint64
+	// Accepted and Dialled are connections, DialFailures attempts to dial one.
+	Accepted     uint64
+	Dialled      uint64
+	DialFailures uint64
 }
 
 // Listen opens the address; messages come in once Serve is called. The link's
@@ -82,16 +94,16 @@
 	c := l.connections[to]
 	if c == nil {
 		if !l.mayDial(to) {
-			l.dropped++
+			l.counts.Dropped++
 			return
 		}
 		c = newConnection()
 		l.connections[to] = c
 		l.group.Go(func(stop <-chan struct{}) { l.dialLoop(to, c, stop) })
 	}
-	l.sent++
+	l.counts.Sent++
 	if !c.queue.TryPush(message) {
-		l.dropped++
+		l.counts.Dropped++
 	}
 }
 
@@ -100,11 +112,9 @@
 	return !l.closed && to != "" && !to.Accepted() && len(l.connections) < maxConnections
 }
 
-// FrameCounts returns how many messages were accepted for sending and how many were
-// dropped, because their queue was full or their peer could not be dialled. A message
-// whose queue is full counts as both.
-func (l *Link) FrameCounts() (sent, dropped uint64) {
+// Counts returns the numbers so far.
+func (l *Link) Counts() Counts {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.sent, l.dropped
+	return l.counts
 }
--- a/internal/transport/link/link_test.go
+++ b/internal/transport/link/link_test.go
@@ -100,9 +100,9 @@
 	if firstPeer == secondPeer {
 		t.Errorf("two connections have one name, %s", secondPeer)
 	}
-	_, before := l.FrameCounts()
+	before := l.Counts().Dropped
 	l.Send(firstPeer, response(5))
-	if _, dropped := l.FrameCounts(); dropped != before+1 || l.connectionCount() != 1 {
+	if dropped := l.Counts().Dropped; dropped != before+1 || l.connectionCount() != 1 {
 		t.Errorf("%d replies dropped, %d connections", dropped-before, l.connectionCount())
 	}
 	l.Send(secondPeer, response(6))
--- /dev/null
+++ b/internal/transport/link/stalled.go
@@ -0,0 +1,56 @@
+package link
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"orchidward/internal/transport/wire"
+)
+
+// queueProgress is what the last check saw of a connection's queue.
+type queueProgress struct {
+	taken    uint64
+	since    time.Time
+	reported bool
+}
+
+// StalledConnection is a connection for which messages wait while none is taken to be
+// sent.
+type StalledConnection struct {
+	Peer wire.Peer
+	// Queued is how many messages wait, Since when the last one was taken, as far as
+	// the checks saw it.
+	Queued int
+	Since  time.Time
+}
+
+// TakeStalled returns the connections, in the order of their peers, for which messages
+// have waited at least limit without one being taken. Each is returned once, until it
+// makes progress again. It is to be called regularly, more often than limit.
+func (l *Link) TakeStalled(now time.Time, limit time.Duration) []StalledConnection {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var stalled []StalledConnection
+	for peer, c := range l.connections {
+		if c.stalled(now, limit) {
+			stalled = append(stalled, StalledConnection{Peer: peer, Queued: c.queue.Len(), Since: c.progress.since})
+		}
+	}
+	slices.SortFunc(stalled, func(a, b StalledConnection) int { return cmp.Compare(a.Peer, b.Peer) })
+	return stalled
+}
+
+// stalled checks the queue, and reports whether it has now been found to stand still.
+func (c *connection) stalled(now time.Time, limit time.Duration) bool {
+	taken := c.taken.Load()
+	if c.queue.Len() == 0 || taken != c.progress.taken || c.progress.since.IsZero() {
+		c.progress = queueProgress{taken: taken, since: now}
+		return false
+	}
+	if c.progress.reported || now.Sub(c.progress.since) < limit {
+		return false
+	}
+	c.progress.reported = true
+	return true
+}
