--- a/internal/daemon/linkmonitor/monitor.go
+++ b/internal/daemon/linkmonitor/monitor.go
@@ -3,6 +3,7 @@
 package linkmonitor
 
 import (
+	"strings"
 	"time"
 
 	"orchidward/internal/daemon/logging"
@@ -15,6 +16,8 @@
 	// messages may wait for one before the log says so.
 	interval     = time.Second
 	stalledAfter = 2 * time.Second
+	// maxNamedPeers is how many peers one line of the log names.
+	maxNamedPeers = 8
 )
 
 // Monitor watches a link. It is not safe for concurrent use.
@@ -36,10 +39,7 @@
 		return
 	}
 	m.checkedAt = now
-	for _, connection := range m.link.TakeStalled(now, stalledAfter) {
-		m.log.Event("connection-stalled", "peer", string(connection.Peer), "queued", connection.Queued,
-			"unsentMs", now.Sub(connection.Since).Milliseconds())
-	}
+	m.logStalled(m.link.TakeStalled(now, stalledAfter))
 	counts := m.link.Counts()
 	m.gauges.Set("frames_sent", float64(counts.Sent))
 	m.gauges.Set("frames_dropped", float64(counts.Dropped))
@@ -47,3 +47,19 @@
 	m.gauges.Set("connections_dialled", float64(counts.Dialled))
 	m.gauges.Set("dial_failures", float64(counts.DialFailures))
 }
+
+// logStalled logs one line for all connections that were found to stand still.
+func (m *Monitor) logStalled(stalled []link.StalledConnection) {
+	if len(stalled) == 0 {
+		return
+	}
+	var peers []string
+	mostQueued := 0
+	for _, connection := range stalled {
+		mostQueued = max(mostQueued, connection.Queued)
+		if len(peers) < maxNamedPeers {
+			peers = append(peers, string(connection.Peer))
+		}
+	}
+	m.log.Event("connections-stalled", "connections", len(stalled), "peers", strings.Join(peers, " "), "mostQueued", mostQueued)
+}
--- a/internal/transport/link/stalled.go
+++ b/internal/transport/link/stalled.go
@@ -19,10 +19,8 @@
 // sent.
 type StalledConnection struct {
 	Peer wire.Peer
-	// Queued is how many messages wait, Since when the last one was taken, as far as
-	// the checks saw it.
+	// Queued is how many messages wait.
 	Queued int
-	Since  time.Time
 }
 
 // TakeStalled returns the connections, in the order of their peers, for which messages
@@ -34,7 +32,7 @@
 	var stalled []StalledConnection
 	for peer, c := range l.connections {
 		if c.stalled(now, limit) {
-			stalled = append(stalled, StalledConnection{Peer: peer, Queued: c.queue.Len(), Since: c.progress.since})
+			stalled = append(stalled, StalledConnection{Peer: peer, Queued: c.queue.Len()})
 		}
 	}
 	slices.SortFunc(stalled, func(a, b StalledConnection) int { return cmp.Compare(a.Peer, b.Peer) })
