--- a/internal/transport/wire/decode.go
+++ b/internal/transport/wire/decode.go
@@ -194,6 +194,8 @@
 		ClusterTime:    clock.ClusterTime(in.Site()),
 		Level:          in.Level(),
 		Leaving:        in.Leaving(),
+		Offset:         in.ViewOff(),
+		Total:          in.ViewTotal(),
 	}
 	var fields fieldReader
 	m.Entries = fields.entries(in.Entries())
@@ -204,8 +206,6 @@
 			Members: fields.members(in.ViewMembers()),
 			Data:    fields.data(in.ViewData()),
 		}
-		m.Offset = in.ViewOff()
-		m.Total = in.ViewTotal()
 	}
 	return m, fields.err
 }
--- a/internal/transport/wire/encode.go
+++ b/internal/transport/wire/encode.go
@@ -165,6 +165,8 @@
 	out.SetSite(int64(m.ClusterTime))
 	out.SetLevel(m.Level)
 	out.SetLeaving(m.Leaving)
+	out.SetViewOff(m.Offset)
+	out.SetViewTotal(m.Total)
 	if err = encodeEntries(out, m.Entries); err != nil {
 		return err
 	}
@@ -199,8 +201,6 @@
 	out.SetHasView(true)
 	out.SetViewIndex(uint64(m.Snapshot.Index))
 	out.SetViewTerm(uint64(m.Snapshot.Term))
-	out.SetViewOff(m.Offset)
-	out.SetViewTotal(m.Total)
 	if err := encodeMembers(out.NewViewMembers, m.Snapshot.Members); err != nil {
 		return err
 	}
--- a/tests/mutation/membership.go
+++ b/tests/mutation/membership.go
@@ -145,4 +145,20 @@
 		tests:       test("./tests/simulation/membership", "TestPlannedReplacement"),
 		want:        "is about to end",
 	},
+	{
+		name:        "acknowledgement of a chunk loses its offset",
+		file:        "internal/transport/wire/encode.go",
+		original:    "\tout.SetViewOff(m.Offset)\n",
+		replacement: "\tif m.Snapshot != nil {\n\t\tout.SetViewOff(m.Offset)\n\t}\n",
+		tests:       test("./tests/simulation/membership", "TestReplacementWithLargeState"),
+		want:        "the next loss is not tolerated",
+	},
+	{
+		name:        "size of a snapshot is carried by some messages only",
+		file:        "internal/transport/wire/encode.go",
+		original:    "\tout.SetViewTotal(m.Total)\n",
+		replacement: "\tif m.Snapshot != nil {\n\t\tout.SetViewTotal(m.Total)\n\t}\n",
+		tests:       test("./internal/transport/wire", "TestEveryFieldSurvives"),
+		want:        "is lost",
+	},
 }
