--- a/internal/transport/link/connection.go
+++ b/internal/transport/link/connection.go
@@ -20,7 +20,7 @@
 	redialInterval = 60 * time.Millisecond
 	userTimeoutMs  = 800
 	writeTimeout   = 3 * time.Second
-	// idleTimeout ends a connection on which nothing was sent.
+	// idleTimeout ends a dialled connection on which nothing was sent or received.
 	idleTimeout = 60 * time.Second
 	// bufferBytes is the size of the buffers on both sides of a connection.
 	bufferBytes = 64 << 10
@@ -34,6 +34,8 @@
 	// taken counts the messages that were taken off the queue, to be sent or dropped.
 	taken    atomic.Uint64
 	progress queueProgress
+	// received counts the messages that came in.
+	received atomic.Uint64
 }
 
 func newConnection() *connection {
@@ -77,9 +79,11 @@
 	c := newConnection()
 	c.conn = conn
 	l.connections[peer] = c
-	l.group.Go(func(stop <-chan struct{}) { l.writeLoop(c, conn, stop) })
+	readEnded := make(chan struct{})
+	l.group.Go(func(stop <-chan struct{}) { l.writeAccepted(c, conn, readEnded, stop) })
 	l.group.Go(func(_ <-chan struct{}) {
-		l.readLoop(peer, conn)
+		l.readLoop(peer, c, conn)
+		close(readEnded)
 		l.remove(peer, c)
 	})
 }
@@ -131,8 +135,12 @@
 	if !l.attach(c, conn) {
 		return true
 	}
-	l.group.Go(func(<-chan struct{}) { l.readLoop(to, conn) })
-	idle := l.writeLoop(c, conn, stop)
+	readEnded := make(chan struct{})
+	l.group.Go(func(<-chan struct{}) {
+		l.readLoop(to, c, conn)
+		close(readEnded)
+	})
+	idle := l.writeDialled(c, conn, readEnded, stop)
 	if idle {
 		l.remove(to, c)
 	}
@@ -148,36 +156,89 @@
 	return !l.closed
 }
 
-// writeLoop sends what is queued until the connection fails, the link stops, or
-// nothing was sent for idleTimeout. It reports whether it ended for the last reason.
-func (l *Link) writeLoop(c *connection, conn net.Conn, stop <-chan struct{}) bool {
-	buffer := bufio.NewWriterSize(conn, bufferBytes)
-	encoder := wire.NewEncoder(buffer)
+// The two directions of a connection begin and end together: when reading ends, so does
+// writing, and a writer that ends closes the connection. One that is read but no longer
+// written to would take requests and answer none. Only the side that dialled ends a
+// connection because it is idle, and so both sides know of it.
+
+// writeAccepted sends what is queued until either direction fails or the link stops.
+func (l *Link) writeAccepted(c *connection, conn net.Conn, readEnded, stop <-chan struct{}) {
+	defer conn.Close()
+	writer := newMessageWriter(c, conn)
+	for {
+		select {
+		case <-stop:
+			return
+		case <-readEnded:
+			return
+		case message := <-c.queue.Out():
+			if writer.write(message) != nil {
+				return
+			}
+		}
+	}
+}
+
+// writeDialled sends what is queued until either direction fails, the link stops, or
+// nothing was sent or received for the idle timeout. It reports whether it ended for the
+// last reason.
+func (l *Link) writeDialled(c *connection, conn net.Conn, readEnded, stop <-chan struct{}) (idle bool) {
+	writer := newMessageWriter(c, conn)
 	timer := time.NewTimer(l.idleTimeout)
 	defer timer.Stop()
+	receivedBefore := c.received.Load()
 	for {
-		timer.Reset(l.idleTimeout)
 		select {
 		case <-stop:
 			return false
+		case <-readEnded:
+			return false
 		case <-timer.C:
-			return true
-		case message := <-c.queue.Out():
-			c.taken.Add(1)
-			conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-			err := encoder.Encode(message)
-			if err == nil && c.queue.Len() == 0 {
-				err = buffer.Flush()
+			received := c.received.Load()
+			if received == receivedBefore {
+				return true
 			}
-			if err != nil {
+			receivedBefore = received
+		case message := <-c.queue.Out():
+			if writer.write(message) != nil {
 				conn.Close()
 				return false
 			}
 		}
+		timer.Reset(l.idleTimeout)
+	}
+}
+
+// messageWriter writes the messages of one connection.
+type messageWriter struct {
+	connection *connection
+	conn       net.Conn
+	buffer     *bufio.Writer
+	encoder    *wire.Encoder
+}
+
+func newMessageWriter(c *connection, conn net.Conn) *messageWriter {
+	buffer := bufio.NewWriterSize(conn, bufferBytes)
+	return &messageWriter{connection: c, conn: conn, buffer: buffer, encoder: wire.NewEncoder(buffer)}
+}
+
+// write writes a message that was taken off the queue, and what is buffered once no other
+// waits.
+func (w *messageWriter) write(message wire.Message) error {
+	w.connection.taken.Add(1)
+	if err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	if err := w.encoder.Encode(message); err != nil {
+		return err
+	}
+	if w.connection.queue.Len() > 0 {
+		return nil
 	}
+	return w.buffer.Flush()
 }
 
-func (l *Link) readLoop(peer wire.Peer, conn net.Conn) {
+func (l *Link) readLoop(peer wire.Peer, c *connection, conn net.Conn) {
 	defer conn.Close()
 	decoder := wire.NewDecoder(bufio.NewReaderSize(conn, bufferBytes))
 	for {
@@ -185,6 +246,7 @@
 		if err != nil {
 			return
 		}
+		c.received.Add(1)
 		l.handler(peer, message)
 	}
 }
--- a/internal/transport/link/idle_test.go
+++ b/internal/transport/link/idle_test.go
@@ -52,3 +52,35 @@
 		t.Errorf("no response on a connection that is still read: %v", err)
 	}
 }
+
+// TestIdleConnectionEndsOnBothSides checks that a connection on which nothing is sent or
+// received is closed by the side that dialled it, and forgotten by both.
+func TestIdleConnectionEndsOnBothSides(t *testing.T) {
+	dialling, _ := listenWithIdleTimeout(t)
+	accepting, in := listenWithIdleTimeout(t)
+	dialling.Send(wire.Peer(accepting.Addr()), request(1))
+	<-in
+	waitFor(t, "the dialling side keeps an idle connection", func() bool { return dialling.connectionCount() == 0 })
+	waitFor(t, "the accepting side keeps an idle connection", func() bool { return accepting.connectionCount() == 0 })
+}
+
+// TestReceivingConnectionNotIdle checks that a connection on which only responses come, long
+// after the last request, is kept.
+func TestReceivingConnectionNotIdle(t *testing.T) {
+	dialling, responses := listenWithIdleTimeout(t)
+	accepting, in := listenWithIdleTimeout(t)
+	dialling.Send(wire.Peer(accepting.Addr()), request(1))
+	peer := (<-in).from
+	for id := range uint64(10) {
+		time.Sleep(testIdleTimeout / 2)
+		accepting.Send(peer, response(id))
+		select {
+		case got := <-responses:
+			if got.message.Response == nil || got.message.Response.ID != id {
+				t.Fatalf("response %d came as %+v", id, got.message.Response)
+			}
+		case <-time.After(testTimeout):
+			t.Fatalf("response %d did not come", id)
+		}
+	}
+}
--- a/tests/mutation/requests.go
+++ b/tests/mutation/requests.go
@@ -217,6 +217,34 @@
 		tests:       test("./internal/transport/link", "TestQueuedMessagesNotSentToSuccessor"),
 		want:        "got what waited for another",
 	},
+	{
+		name:        "accepted connection is read but not written to after a while",
+		file:        "internal/transport/link/connection.go",
+		original:    "\twriter := newMessageWriter(c, conn)\n\tfor {\n",
+		replacement: "\twriter := newMessageWriter(c, conn)\n\tidle := time.NewTimer(l.idleTimeout).C\n\tfor {\n",
+		also: []edit{
+			{
+				file:        "internal/transport/link/connection.go",
+				original:    "\tdefer conn.Close()\n\twriter := newMessageWriter(c, conn)\n",
+				replacement: "\twriter := newMessageWriter(c, conn)\n",
+			},
+			{
+				file:        "internal/transport/link/connection.go",
+				original:    "\t\tcase <-readEnded:\n\t\t\treturn\n",
+				replacement: "\t\tcase <-readEnded:\n\t\t\treturn\n\t\tcase <-idle:\n\t\t\treturn\n",
+			},
+		},
+		tests: test("./internal/transport/link", "TestIdleConnectionAnswered"),
+		want:  "no response on a connection that is still read",
+	},
+	{
+		name:        "connection counts as idle while responses come on it",
+		file:        "internal/transport/link/connection.go",
+		original:    "if received == receivedBefore {",
+		replacement: "if received >= receivedBefore {",
+		tests:       test("./internal/transport/link", "TestReceivingConnectionNotIdle"),
+		want:        "did not come",
+	},
 	{
 		name:        "accepted connections share a name",
 		file:        "internal/transport/link/connection.go",
