The drain of a rack concerns those who announced that they leave, until they are gone

Cause: once more than half of a rack had announced its leaving the whole rack was cordoned, and runners that had left long ago went on counting: the one that stayed, and each newcomer, was cordoned for good. Work that could run waited for ever (LOST). Class: a guess about others that no event ends. Change: from a new level on, the scope is the runners that announced it and are not lost; the entry that raises the level lets go of what was held.

--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -67,6 +67,9 @@
 	if s.Level >= ResendLevel && s.Catalog != nil {
 		s.Catalog = s.Catalog.Deduplicated()
 	}
+	if s.Level >= RackScopeLevel {
+		s.updateRackDrains()
+	}
 }
 
 // startDelayedJobs makes the jobs pending whose start time has come.
--- a/internal/state/drain_scope.go
+++ b/internal/state/drain_scope.go
@@ -16,46 +16,56 @@
 
 func (r *Runner) rackID() rackID { return rackID{domain: r.Domain, rack: r.Rack} }
 
-// rackMembers are the runners of one rack, in ascending order.
-type rackMembers struct {
-	// present has the runners that are not lost or are leaving.
-	present []identifier.Runner
-	// leaving has the runners that have announced that they leave.
-	leaving []identifier.Runner
+// rackScopes is, for each rack with leaving runners, the runners that its drain
+// concerns, in ascending order: those that have announced that they leave, until they
+// are lost. A drain that guessed at more would cordon runners that stay, for which
+// nothing says when it should end; see docs/notes/closings.md.
+func (s *Store) rackScopes() map[rackID][]identifier.Runner {
+	if s.Level < RackScopeLevel {
+		return s.formerRackScopes()
+	}
+	scopes := map[rackID][]identifier.Runner{}
+	for _, name := range s.RunnerNames() {
+		if runner := s.Runners[name]; s.leaving(runner) {
+			scopes[runner.rackID()] = append(scopes[runner.rackID()], name)
+		}
+	}
+	return scopes
 }
 
-// drainScope is the leaving runners, or the whole rack when they are more than half
-// of it.
-func (m *rackMembers) drainScope() []identifier.Runner {
-	if len(m.leaving)*2 > len(m.present) {
-		return m.present
-	}
-	return m.leaving
+// leaving reports whether a runner belongs into its rack's drain. Below RackScopeLevel
+// it does for as long as nobody says otherwise, lost or not.
+func (s *Store) leaving(runner *Runner) bool {
+	return runner.Draining && (!runner.Gone || s.Level < RackScopeLevel)
 }
 
-func (s *Store) rackMembers() map[rackID]*rackMembers {
-	racks := map[rackID]*rackMembers{}
+// formerRackScopes is rackScopes as it was below RackScopeLevel, for logs of that time:
+// the whole rack as soon as more than half of it has announced that it leaves.
+func (s *Store) formerRackScopes() map[rackID][]identifier.Runner {
+	leaving := map[rackID][]identifier.Runner{}
+	present := map[rackID][]identifier.Runner{}
 	for _, name := range s.RunnerNames() {
 		runner := s.Runners[name]
-		members := racks[runner.rackID()]
-		if members == nil {
-			members = &rackMembers{}
-			racks[runner.rackID()] = members
-		}
+		rack := runner.rackID()
 		if runner.Draining {
-			members.leaving = append(members.leaving, name)
+			leaving[rack] = append(leaving[rack], name)
 		}
 		if !runner.Gone || runner.Draining {
-			members.present = append(members.present, name)
+			present[rack] = append(present[rack], name)
+		}
+	}
+	for rack, names := range leaving {
+		if len(names)*2 > len(present[rack]) {
+			leaving[rack] = present[rack]
 		}
 	}
-	return racks
+	return leaving
 }
 
 // updateRackDrains keeps one drain for every rack with leaving runners, and reopens
 // those of the other racks.
 func (s *Store) updateRackDrains() {
-	racks := s.rackMembers()
+	scopes := s.rackScopes()
 	drains := map[rackID]*Drain{}
 	for _, id := range s.DrainIDs() {
 		drain := s.Drains[id]
@@ -64,20 +74,20 @@
 		}
 		rack := rackID{domain: drain.Domain, rack: drain.Rack}
 		drains[rack] = drain
-		if members := racks[rack]; members == nil || len(members.leaving) == 0 {
+		if len(scopes[rack]) == 0 {
 			drain.enterStage(Preopen, s.Now)
 		}
 	}
 	for _, name := range s.RunnerNames() {
 		runner := s.Runners[name]
-		if !runner.Draining {
+		if !s.leaving(runner) {
 			continue
 		}
 		rack := runner.rackID()
 		if drains[rack] == nil {
 			drains[rack] = s.createDrain("", KindRack, runner.Domain, runner.Rack)
 		}
-		s.setRackScope(drains[rack], racks[rack].drainScope())
+		s.setRackScope(drains[rack], scopes[rack])
 	}
 	s.updateCordons()
 }
--- a/internal/state/levels.go
+++ b/internal/state/levels.go
@@ -5,7 +5,7 @@
 // programs differ in version do the same with a command.
 const (
 	// SupportedLevel is the highest level that this program supports.
-	SupportedLevel = ResendLevel
+	SupportedLevel = RackScopeLevel
 
 	// ChecksumLevel is the level from which on the checksum is kept.
 	ChecksumLevel uint16 = 1
@@ -19,4 +19,7 @@
 	// remembered by the thousand, a cancel of an unknown job leaves a tombstone, and
 	// reopening a domain finds the drain in force.
 	ResendLevel uint16 = 4
+	// RackScopeLevel is the level from which on the drain of a rack concerns just the
+	// runners that have announced that they leave and are not lost.
+	RackScopeLevel uint16 = 5
 )
