A runner that leaves without having announced it is draining, and not gone

Cause: a farewell was taken for the end: 0.3 s later the agent reported that the runner had left, and its tasks were placed again while they still ran there, unless heartbeats went on; where runners are called, nothing was called any more. A farewell after an announced departure is what it was.

--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -25,6 +25,9 @@
 	// it is, the sooner a runner that has crashed is known to be dead; it must outlast a
 	// restart of the agent.
 	UsualLease clock.Millis
+	// DepartureNotice is how long a runner is expected to go on at least that says farewell
+	// without having announced its departure.
+	DepartureNotice clock.Millis
 	// HeartbeatInterval is how long a runner should wait between heartbeats.
 	HeartbeatInterval clock.Millis
 }
--- a/internal/agent/heartbeats.go
+++ b/internal/agent/heartbeats.go
@@ -10,7 +10,8 @@
 	// been over for deadSlack.
 	deadSilence clock.Millis = 1000
 	deadSlack   clock.Millis = 100
-	// farewellDelay is how long after its farewell a runner counts as gone.
+	// farewellDelay is how long after its farewell a runner counts as gone that had
+	// announced its departure, unless it is heard again.
 	farewellDelay clock.Millis = 300
 	// maxPastIncarnations bounds the incarnations that are remembered.
 	maxPastIncarnations = 16
@@ -27,8 +28,11 @@
 	leaseEnd clock.Monotonic
 	// deathReported says that the control plane is told that the runner is dead.
 	deathReported bool
-	// leftAt is when the runner said farewell, 0 when it has not.
-	leftAt clock.Monotonic
+	// leftAt is when the runner said farewell at the end of an announced departure, 0
+	// when it has not. unannouncedAt is when it did so without having announced it, 0
+	// when it has not: it goes on for a while, and what it runs does too.
+	leftAt        clock.Monotonic
+	unannouncedAt clock.Monotonic
 	// past are the incarnations that another has replaced.
 	past map[identifier.Incarnation]bool
 }
@@ -46,6 +50,21 @@
 	return r.leftAt > 0 && now.Since(r.leftAt) > farewellDelay
 }
 
+// draining reports whether the runner is about to leave: by its last heartbeat, or since it
+// has said farewell.
+func (r *runnerState) draining() bool {
+	return r.heartbeat.Draining || r.unannouncedAt > 0
+}
+
+// departsIn is the least time that a draining runner has left. One that said farewell
+// without notice is expected to go on for notice.
+func (r *runnerState) departsIn(now clock.Monotonic, notice clock.Millis) clock.Millis {
+	if r.heartbeat.Draining {
+		return max(0, r.heartbeat.DepartsIn-now.Since(r.heardAt))
+	}
+	return max(0, notice-now.Since(r.unannouncedAt))
+}
+
 // isIncarnation reports whether the last heartbeat came from this incarnation.
 func (r *runnerState) isIncarnation(incarnation identifier.Incarnation) bool {
 	return r.heartbeat != nil && r.heartbeat.Runner == incarnation
@@ -82,11 +101,23 @@
 	return orders
 }
 
-// RunnerLeft takes the runner's farewell.
+// RunnerLeft takes the runner's farewell. One that had announced its departure ends now.
+// One that had not is draining from now on, whatever its heartbeats say: it goes on for a
+// while, with or without heartbeats, and what it runs counts as running until its end is
+// reported or its lease has run out. A farewell that is repeated, or comes from an earlier
+// incarnation, changes nothing.
 func (a *Agent) RunnerLeft(incarnation identifier.Incarnation, now clock.Monotonic) {
 	a.now = max(a.now, now)
-	if a.runner.isIncarnation(incarnation) {
+	switch {
+	case !a.runner.isIncarnation(incarnation):
+	case a.runner.heartbeat.Draining:
 		a.runner.leftAt = a.now
+	case a.runner.unannouncedAt == 0:
+		a.runner.unannouncedAt = a.now
+		a.unreported = true
+		a.orders.dropStarts()
+		a.logEvent("runner-leaves-unannounced", "runner", incarnation)
+		a.pollIfDue()
 	}
 }
 
@@ -111,6 +142,7 @@
 	}
 	a.forgetRuns()
 	a.runner.heartbeat = nil
+	a.runner.unannouncedAt = 0
 	a.unreported = true
 }
 
@@ -127,7 +159,8 @@
 	if differs(a.runner.heartbeat, heartbeat, present) {
 		a.unreported = true
 	}
-	if a.orders.dropFetched(present, heartbeat.Draining, a.now) {
+	leaving := heartbeat.Draining || a.runner.unannouncedAt > 0
+	if a.orders.dropFetched(present, leaving, a.now) {
 		a.unreported = true
 	}
 	for _, stopped := range a.orders.recordCleared(present) {
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -105,6 +105,15 @@
 	return dropped
 }
 
+// dropStarts drops the starts that were not handed out: the runner is to get none of them.
+func (p *pendingOrders) dropStarts() {
+	for name, order := range p.starts {
+		if !order.handedOut {
+			delete(p.starts, name)
+		}
+	}
+}
+
 // dropFetched drops, at a heartbeat, starts that the runner has or was handed, that have
 // expired, or that a draining runner must not get. It reports whether there were any.
 func (p *pendingOrders) dropFetched(present map[attempt]bool, draining bool, now clock.Monotonic) bool {
--- a/internal/agent/polls.go
+++ b/internal/agent/polls.go
@@ -81,9 +81,9 @@
 		LeftInOrder:  a.runner.left(a.now),
 		PresumedDead: a.runner.presumedDead(a.now),
 	}
-	if heartbeat.Draining {
+	if a.runner.draining() {
 		request.Mode = runnerapi.ModeDraining
-		request.DepartsIn = max(0, heartbeat.DepartsIn-silentFor)
+		request.DepartsIn = a.runner.departsIn(a.now, a.config.DepartureNotice)
 	}
 	return request
 }
@@ -185,7 +185,7 @@
 	}
 	a.orders.observedThrough = max(a.orders.observedThrough, response.ObservedThrough)
 	a.orders.replaceStops(response.StopRuns)
-	if a.runner.heartbeat.Draining {
+	if a.runner.draining() {
 		return
 	}
 	expires := open.sentAt.Add(response.StartTimeout)
--- a/internal/controlplane/fake_runner_test.go
+++ b/internal/controlplane/fake_runner_test.go
@@ -21,6 +21,8 @@
 	endReportDelay clock.Monotonic = 50
 	// departsIn is how long a draining runner says it has left.
 	departsIn clock.Millis = 60000
+	// departureNotice is how long a runner goes on at least after an unannounced farewell.
+	departureNotice clock.Millis = 2000
 )
 
 // fakeRunner is a runner and the agent that speaks for it. The fields from capacity on are
@@ -41,6 +43,8 @@
 	// usualLease is the lease that the agent gives, 0 for the longest.
 	usualLease clock.Millis
 	draining   bool
+	// leaving runners have said farewell without notice: nothing new may start there.
+	leaving bool
 	// crashed runners do nothing, stalled ones send heartbeats but make no progress.
 	crashed bool
 	stalled bool
@@ -74,6 +78,7 @@
 		Seed:              int64(c.now) * 1000,
 		MaxLease:          maxLease,
 		UsualLease:        runner.usualLease,
+		DepartureNotice:   departureNotice,
 		HeartbeatInterval: heartbeatInterval,
 	}, c.now)
 }
@@ -255,7 +260,7 @@
 			}
 		}
 	}
-	if runner.draining {
+	if runner.draining || runner.leaving {
 		c.t.Errorf("%d: DRAIN: %s started on %s", c.now, task, runner.name)
 	}
 }
--- a/internal/controlplane/runner_loss_test.go
+++ b/internal/controlplane/runner_loss_test.go
@@ -68,3 +68,32 @@
 		}
 	}
 }
+
+// TestUnannouncedLeaver has a runner say farewell without having announced its departure. It
+// serves on, with or without heartbeats, and ends some seconds later. Nothing that it runs
+// may start elsewhere meanwhile, and the job is done soon after.
+func TestUnannouncedLeaver(t *testing.T) {
+	const id = "00000000000000e1"
+	for seed := int64(1); seed <= 12; seed++ {
+		cluster := newTestCluster(t, seed, 3)
+		for _, runner := range cluster.runners {
+			runner.usualLease = 3500
+			runner.agent = cluster.newAgent(runner)
+		}
+		cluster.run(8000)
+		cluster.submit(id, 8, 4000)
+		cluster.run(500 + clock.Monotonic(cluster.random.Intn(300)))
+		runner := cluster.runners[0]
+		runner.agent.RunnerLeft(runner.heartbeat(cluster.now).Runner, cluster.now)
+		runner.leaving = true
+		if seed%2 == 0 {
+			runner.stopHeartbeats()
+		}
+		cluster.run(2000 + clock.Monotonic(cluster.random.Intn(4000)))
+		runner.crashed = true
+		cluster.run(13000)
+		if got := cluster.jobState(id); !jobSucceeded(got) {
+			t.Errorf("seed %d: 13 s after the runner's end the job is %s", seed, got)
+		}
+	}
+}
--- a/tests/mutation/runners.go
+++ b/tests/mutation/runners.go
@@ -122,4 +122,28 @@
 		tests:       test("./platform", "TestCallsNotRedirected"),
 		want:        "calls to another",
 	},
+	{
+		name:        "unannounced farewell counts as the end",
+		file:        "internal/agent/heartbeats.go",
+		original:    "\tcase a.runner.heartbeat.Draining:\n",
+		replacement: "\tcase true:\n",
+		tests:       test("./internal/controlplane", "TestUnannouncedLeaver"),
+		want:        "TWICE",
+	},
+	{
+		name:        "unannounced leaver gets starts",
+		file:        "internal/agent/heartbeats.go",
+		original:    "return r.heartbeat.Draining || r.unannouncedAt > 0",
+		replacement: "return r.heartbeat.Draining",
+		tests:       test("./internal/agent", "TestUnannouncedFarewell"),
+		want:        "reported at the farewell",
+	},
+	{
+		name:        "unannounced leaver is called no more",
+		file:        "platform/runner_client.go",
+		original:    "case c.latest.Draining:",
+		replacement: "case true:",
+		tests:       test("./platform", "TestUnannouncedLeaverIsCalled"),
+		want:        "is called no more",
+	},
 }
