link: a peer that closes each connection at once is not dialled without end

Cause: since reading and writing end together, a connection that the other side closes is noticed at once, and was dialled again 60 ms later whether or not there was something to send. Change: a connection on which nothing was sent or received is not dialled again until there is a message.

--- a/internal/transport/link/connection.go
+++ b/internal/transport/link/connection.go
@@ -98,9 +98,29 @@
 	}
 }
 
-// dialLoop keeps a peer connected for as long as there is something to send to it.
+// activity counts the messages that were sent and received.
+func (c *connection) activity() uint64 { return c.taken.Load() + c.received.Load() }
+
+// removeIfEmpty forgets a connection that is down while no message waits for it, and
+// reports whether it did.
+func (l *Link) removeIfEmpty(peer wire.Peer, c *connection) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.queue.Len() > 0 {
+		return false
+	}
+	if l.connections[peer] == c {
+		delete(l.connections, peer)
+	}
+	return true
+}
+
+// dialLoop keeps a peer connected for as long as there is something to send to it. A peer
+// that cannot be dialled, or closes a connection before anything was sent or received on
+// it, is not dialled again until there is.
 func (l *Link) dialLoop(to wire.Peer, c *connection, stop <-chan struct{}) {
 	for {
+		before := c.activity()
 		conn, err := net.DialTimeout("tcp", string(to), dialTimeout)
 		if err == nil && l.runDialled(to, c, conn, stop) {
 			return
@@ -108,14 +128,14 @@
 		if err != nil {
 			l.countDialFailure()
 		}
+		unused := c.activity() == before
 		c.discard()
 		select {
 		case <-stop:
 			return
 		case <-time.After(redialInterval):
 		}
-		if err != nil && c.queue.Len() == 0 {
-			l.remove(to, c)
+		if unused && l.removeIfEmpty(to, c) {
 			return
 		}
 	}
--- a/internal/transport/link/idle_test.go
+++ b/internal/transport/link/idle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -84,3 +85,38 @@
 		}
 	}
 }
+
+// TestRefusingPeerNotDialledForNothing checks that a peer which closes each connection at
+// once, as one does that has as many as it takes, is dialled once more after a message was
+// sent, and then not until there is another.
+func TestRefusingPeerNotDialledForNothing(t *testing.T) {
+	l, _ := listen(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	accepted := make(chan struct{}, 1024)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- struct{}{}
+			conn.Close()
+		}
+	}()
+	const maxDialsAMessage = 2
+	for id := range uint64(3) {
+		l.Send(wire.Peer(listener.Addr().String()), request(id))
+		waitFor(t, "a peer that refuses is kept", func() bool { return len(accepted) > 0 && l.connectionCount() == 0 })
+		time.Sleep(5 * redialInterval)
+		if dials := len(accepted); dials > maxDialsAMessage {
+			t.Fatalf("dialled %d times for message %d", dials, id)
+		}
+		for len(accepted) > 0 {
+			<-accepted
+		}
+	}
+}
--- a/tests/mutation/requests.go
+++ b/tests/mutation/requests.go
@@ -237,6 +237,14 @@
 		tests: test("./internal/transport/link", "TestIdleConnectionAnswered"),
 		want:  "no response on a connection that is still read",
 	},
+	{
+		name:        "peer that refuses connections is dialled without end",
+		file:        "internal/transport/link/connection.go",
+		original:    "if unused && l.removeIfEmpty(to, c) {",
+		replacement: "if unused && conn == nil && l.removeIfEmpty(to, c) {",
+		tests:       test("./internal/transport/link", "TestRefusingPeerNotDialledForNothing"),
+		want:        "a peer that refuses is kept",
+	},
 	{
 		name:        "connection counts as idle while responses come on it",
 		file:        "internal/transport/link/connection.go",
