--- a/tests/mutation/requests.go
+++ b/tests/mutation/requests.go
@@ -219,17 +219,17 @@
 	},
 	{
 		name:        "accepted connection is read but not written to after a while",
-		file:        "internal/transport/link/connection.go",
+		file:        "internal/transport/link/streams.go",
 		original:    "\twriter := newMessageWriter(c, conn)\n\tfor {\n",
 		replacement: "\twriter := newMessageWriter(c, conn)\n\tidle := time.NewTimer(l.idleTimeout).C\n\tfor {\n",
 		also: []edit{
 			{
-				file:        "internal/transport/link/connection.go",
+				file:        "internal/transport/link/streams.go",
 				original:    "\tdefer conn.Close()\n\twriter := newMessageWriter(c, conn)\n",
 				replacement: "\twriter := newMessageWriter(c, conn)\n",
 			},
 			{
-				file:        "internal/transport/link/connection.go",
+				file:        "internal/transport/link/streams.go",
 				original:    "\t\tcase <-readEnded:\n\t\t\treturn\n",
 				replacement: "\t\tcase <-readEnded:\n\t\t\treturn\n\t\tcase <-idle:\n\t\t\treturn\n",
 			},
@@ -247,7 +247,7 @@
 	},
 	{
 		name:        "connection counts as idle while responses come on it",
-		file:        "internal/transport/link/connection.go",
+		file:        "internal/transport/link/streams.go",
 		original:    "if received == receivedBefore {",
 		replacement: "if received >= receivedBefore {",
 		tests:       test("./internal/transport/link", "TestReceivingConnectionNotIdle"),
