--- a/internal/controlplane/runner_loss_test.go
+++ b/internal/controlplane/runner_loss_test.go
@@ -43,18 +43,26 @@
 	}
 }
 
+// newShortLeaseCluster is a cluster of three runners whose agents give them leases shorter
+// than those of the control plane.
+func newShortLeaseCluster(t *testing.T, seed int64) *testCluster {
+	t.Helper()
+	cluster := newTestCluster(t, seed, 3)
+	for _, runner := range cluster.runners {
+		runner.usualLease = 3500
+		runner.agent = cluster.newAgent(runner)
+	}
+	cluster.run(8000)
+	return cluster
+}
+
 // TestDeadRunnerWorkRestarted crashes a runner for good. What it ran starts elsewhere as
 // soon as its own lease must be over, long before the agent's; and never sooner, also
 // when only its heartbeats stopped while it went on.
 func TestDeadRunnerWorkRestarted(t *testing.T) {
 	const id = "00000000000000d1"
 	for seed := int64(1); seed <= 10; seed++ {
-		cluster := newTestCluster(t, seed, 3)
-		for _, runner := range cluster.runners {
-			runner.usualLease = 3500
-			runner.agent = cluster.newAgent(runner)
-		}
-		cluster.run(8000)
+		cluster := newShortLeaseCluster(t, seed)
 		cluster.submit(id, 8, 5000)
 		cluster.run(1000 + clock.Monotonic(cluster.random.Intn(300)))
 		if cluster.random.Intn(2) == 0 {
@@ -75,12 +83,7 @@
 func TestUnannouncedLeaver(t *testing.T) {
 	const id = "00000000000000e1"
 	for seed := int64(1); seed <= 12; seed++ {
-		cluster := newTestCluster(t, seed, 3)
-		for _, runner := range cluster.runners {
-			runner.usualLease = 3500
-			runner.agent = cluster.newAgent(runner)
-		}
-		cluster.run(8000)
+		cluster := newShortLeaseCluster(t, seed)
 		cluster.submit(id, 8, 4000)
 		cluster.run(500 + clock.Monotonic(cluster.random.Intn(300)))
 		runner := cluster.runners[0]
