--- a/tests/simulation/membership/second_loss_test.go
+++ b/tests/simulation/membership/second_loss_test.go
@@ -23,6 +23,10 @@
 	{"8 in 4", eightInFourDomains, 2, 6000},
 }
 
+// smallRecoveryPromises are those of clusters in which no learner stands by, so that a
+// lost voter is replaced by whoever starts in its place.
+var smallRecoveryPromises = recoveryPromises[:2]
+
 // The ways in which the first servers are lost and come back.
 const (
 	lossReplaced = "replaced at a new address"
