Sight: where the time of a job went, for a job, a queue and a leader

Cause: nothing said why a job came late: how long it waited for room, ran, or lost attempts, and by what. A leader logs job-late for each late or failed job (32 a second at most), queue-times every 10 s, and gauges; orchidctl job explain prints one job.

--- a/cmd/orchidctl/job.go
+++ b/cmd/orchidctl/job.go
@@ -22,11 +22,12 @@
 const waitInterval = 250 * time.Millisecond
 
 type jobCommand struct {
-	Put    jobSubmit `cmd:"" help:"Submit a job from a JSON file, or - for standard input."`
-	Get    jobGet    `cmd:"" help:"Show a job, step by step and task by task."`
-	Wait   jobWait   `cmd:"" help:"Wait until a job has ended and show it; exits 1 unless it ended well."`
-	Cancel jobCancel `cmd:"" help:"Cancel a job."`
-	List   jobList   `cmd:"" help:"List jobs."`
+	Put     jobSubmit  `cmd:"" help:"Submit a job from a JSON file, or - for standard input."`
+	Get     jobGet     `cmd:"" help:"Show a job, step by step and task by task."`
+	Explain jobExplain `cmd:"" help:"Show where a job's time went: waiting, running, and attempts that came to nothing."`
+	Wait    jobWait    `cmd:"" help:"Wait until a job has ended and show it; exits 1 unless it ended well."`
+	Cancel  jobCancel  `cmd:"" help:"Cancel a job."`
+	List    jobList    `cmd:"" help:"List jobs."`
 }
 
 // jobPath is the path of the job that the command line names.
--- a/internal/clock/time.go
+++ b/internal/clock/time.go
@@ -25,6 +25,9 @@
 // Add is the time s later, or earlier when s is negative.
 func (m ClusterTime) Add(s Millis) ClusterTime { return m + ClusterTime(s) }
 
+// Since is the span from then to m, negative when m is the earlier one.
+func (m ClusterTime) Since(then ClusterTime) Millis { return Millis(m - then) }
+
 // Time is the same moment as a time.Time in UTC.
 func (m ClusterTime) Time() time.Time { return time.UnixMilli(int64(m)).UTC() }
 
--- a/internal/controlplane/apply.go
+++ b/internal/controlplane/apply.go
@@ -122,6 +122,7 @@
 	s.checksums.put(entry.Index, s.state.Checksum)
 	s.logCommand(command, result)
 	s.recordChanges(firstLease)
+	s.recordEndedJobs()
 	s.answerProposal(entry, result)
 }
 
--- a/internal/controlplane/job_documents.go
+++ b/internal/controlplane/job_documents.go
@@ -22,6 +22,9 @@
 	Ended     string            `json:"ended,omitempty"`
 	Reason    string            `json:"why,omitempty"`
 	Steps     []StepDoc         `json:"steps,omitempty"`
+	// Timing is where the time went of the tasks that the job had to wait for. It is left
+	// out by a server that has not followed the job from its acceptance.
+	Timing *TimingDoc `json:"timing,omitempty"`
 }
 
 // StepDoc is one step of a job. Reason says what its waiting tasks wait for.
@@ -29,6 +32,8 @@
 	Name   string    `json:"name"`
 	Reason string    `json:"why,omitempty"`
 	Tasks  []TaskDoc `json:"tasks"`
+	// Timing is set once all tasks of the step have succeeded.
+	Timing *StepTimingDoc `json:"timing,omitempty"`
 }
 
 // TaskDoc is one task. State is "running" only when the runner has confirmed the start,
@@ -98,6 +103,7 @@
 		}
 		doc.Steps = append(doc.Steps, stepDoc)
 	}
+	doc.addTiming(j)
 	return doc
 }
 
--- /dev/null
+++ b/internal/controlplane/job_timing.go
@@ -0,0 +1,192 @@
+package controlplane
+
+import (
+	"maps"
+	"slices"
+
+	"orchidward/internal/clock"
+	"orchidward/internal/state"
+)
+
+const (
+	// timingLogInterval is how often a leader logs where the time of each queue's jobs went.
+	timingLogInterval clock.Millis = 10000
+	// maxLateJobsLogged bounds the late jobs that get a line of their own in
+	// lateLogInterval; the others are counted.
+	maxLateJobsLogged              = 32
+	lateLogInterval   clock.Millis = 1000
+	// maxTimedQueues bounds the queues that totals are kept for.
+	maxTimedQueues = 512
+)
+
+// JobTotals are jobs that have ended, and where the time of the tasks went that they had
+// to wait for.
+type JobTotals struct {
+	// Ended is the number of jobs that ended, Late that of those which succeeded after
+	// they were due, and Failed that of those which failed.
+	Ended, Late, Failed int
+	state.Timing
+}
+
+// jobTimes is what a leader has seen of jobs that ended. Totals are since this leadership
+// began, queues since the log last said so.
+type jobTimes struct {
+	totals     JobTotals
+	queues     map[string]*JobTotals
+	loggedAt   clock.Monotonic
+	lateSince  clock.Monotonic
+	lateLogged int
+	lateHidden int
+}
+
+func newJobTimes(now clock.Monotonic) jobTimes {
+	return jobTimes{queues: map[string]*JobTotals{}, loggedAt: now, lateSince: now}
+}
+
+// JobTotals are the totals of jobs that ended under this leadership, zero on a server that
+// does not lead.
+func (s *Server) JobTotals() JobTotals {
+	if s.leader == nil {
+		return JobTotals{}
+	}
+	return s.leader.jobTimes.totals
+}
+
+// recordEndedJobs takes the jobs that the last entry has ended.
+func (s *Server) recordEndedJobs() {
+	s.state.TakeEndedJobs(func(j *state.Job) {
+		if s.leader == nil || j.Terms == nil || j.EndState == state.Cancelled {
+			return
+		}
+		_, timing, ok := j.Timing()
+		late := j.EndState == state.Succeeded && j.EndedAt > j.Terms.DueAt
+		times := &s.leader.jobTimes
+		times.totals.add(j, timing, late)
+		if queue := times.queue(j.Terms.Queue); queue != nil {
+			queue.add(j, timing, late)
+		}
+		if ok && (late || j.EndState == state.Failed) {
+			s.logLateJob(j, timing)
+		}
+	})
+}
+
+func (t *JobTotals) add(j *state.Job, timing state.Timing, late bool) {
+	t.Ended++
+	if late {
+		t.Late++
+	}
+	if j.EndState == state.Failed {
+		t.Failed++
+	}
+	t.Timing = t.Plus(timing)
+}
+
+// queue returns the totals of a queue, nil where there are too many.
+func (t *jobTimes) queue(name string) *JobTotals {
+	totals := t.queues[name]
+	if totals == nil && len(t.queues) < maxTimedQueues {
+		totals = &JobTotals{}
+		t.queues[name] = totals
+	}
+	return totals
+}
+
+// logLateJob logs where the time of a job went that came too late, or failed.
+func (s *Server) logLateJob(j *state.Job, timing state.Timing) {
+	times := &s.leader.jobTimes
+	if s.now.Since(times.lateSince) >= lateLogInterval {
+		if times.lateHidden > 0 {
+			s.logEvent("late-jobs-not-logged", "jobs", times.lateHidden)
+		}
+		times.lateSince = s.now
+		times.lateLogged = 0
+		times.lateHidden = 0
+	}
+	if times.lateLogged >= maxLateJobsLogged {
+		times.lateHidden++
+		return
+	}
+	times.lateLogged++
+	fields := []any{
+		"key", j.Key, "queue", j.Terms.Queue, "priority", j.Terms.Priority, "state", j.EndState,
+		"tookMs", j.EndedAt.Since(j.AcceptedAt), "targetMs", j.Terms.Target, "expectedMs", j.Spec.CriticalPath(),
+	}
+	s.logEvent("job-late", append(fields, timingFields(timing)...)...)
+}
+
+// timingFields are the fields of a log line that say where time went; causes for which
+// nothing was lost are left out.
+func timingFields(timing state.Timing) []any {
+	fields := []any{
+		"waitMs", timing.Waiting, "runMs", timing.Running,
+		"attempts", timing.Attempts, "distant", timing.Distant,
+	}
+	for cause := range state.LossCauses {
+		if lost := timing.Lost[cause]; lost > 0 {
+			fields = append(fields, cause.String()+"Ms", lost)
+		}
+	}
+	return fields
+}
+
+// logJobTimes logs, every timingLogInterval, where the time of each queue's jobs went.
+func (s *Server) logJobTimes() {
+	times := &s.leader.jobTimes
+	if s.now.Since(times.loggedAt) < timingLogInterval {
+		return
+	}
+	times.loggedAt = s.now
+	for _, name := range slices.Sorted(maps.Keys(times.queues)) {
+		totals := times.queues[name]
+		fields := []any{"queue", name, "ended", totals.Ended, "late", totals.Late, "failed", totals.Failed}
+		s.logEvent("queue-times", append(fields, timingFields(totals.Timing)...)...)
+	}
+	clear(times.queues)
+}
+
+// TimingDoc says where time went, in milliseconds. Lost has the time of attempts that came
+// to nothing, by cause.
+type TimingDoc struct {
+	Waiting  clock.Millis            `json:"waitMs"`
+	Running  clock.Millis            `json:"runMs"`
+	Lost     map[string]clock.Millis `json:"lostMs,omitempty"`
+	Attempts int                     `json:"attempts"`
+	Distant  int                     `json:"distant,omitempty"`
+}
+
+// StepTimingDoc is the timing of the task that a step had to wait for.
+type StepTimingDoc struct {
+	TimingDoc
+	Task  int    `json:"task"`
+	Ended string `json:"ended"`
+}
+
+func newTimingDoc(timing state.Timing) TimingDoc {
+	doc := TimingDoc{Waiting: timing.Waiting, Running: timing.Running, Attempts: timing.Attempts, Distant: timing.Distant}
+	for cause := range state.LossCauses {
+		if timing.Lost[cause] == 0 {
+			continue
+		}
+		if doc.Lost == nil {
+			doc.Lost = map[string]clock.Millis{}
+		}
+		doc.Lost[cause.String()] = timing.Lost[cause]
+	}
+	return doc
+}
+
+// addTiming adds to a job's document what this server has seen of its time.
+func (d *JobDoc) addTiming(j *state.Job) {
+	steps, chain, ok := j.Timing()
+	if !ok {
+		return
+	}
+	timing := newTimingDoc(chain)
+	d.Timing = &timing
+	for i := range steps {
+		if steps[i].EndedAt > 0 {
+			d.Steps[i].Timing = &StepTimingDoc{newTimingDoc(steps[i].Timing), steps[i].Task, state.FormatTime(steps[i].EndedAt)}
+		}
+	}
+}
--- a/internal/controlplane/leader.go
+++ b/internal/controlplane/leader.go
@@ -32,6 +32,8 @@
 	leases leaseConfirmations
 	drains drainProgress
 	cycle  schedulingCycle
+	// jobTimes is where the time of jobs went.
+	jobTimes jobTimes
 
 	gangProposal    identifier.Index
 	revokeProposal  identifier.Index
@@ -61,6 +63,7 @@
 		leases:          newLeaseConfirmations(),
 		drains:          newDrainProgress(),
 		cycle:           schedulingCycle{needed: true, lastAt: -clock.Monotonic(schedulingInterval)},
+		jobTimes:        newJobTimes(s.now),
 		maxVotersLiveAt: s.now,
 		transfers:       map[identifier.Node]observedTransfer{},
 		requests:        requestCounts{since: s.now},
@@ -103,6 +106,7 @@
 	s.announceToSeeds()
 	s.logTransfers()
 	s.logRequestCounts()
+	s.logJobTimes()
 	s.raiseLevel()
 	s.proposeChecksum()
 	s.commitClusterTime()
--- a/internal/daemon/serverd/metrics.go
+++ b/internal/daemon/serverd/metrics.go
@@ -28,6 +28,13 @@
 		waiting += store.WaitingTasks(row)
 	}
 	d.gauges.Set("tasks_waiting", float64(waiting))
+	totals := d.server.JobTotals()
+	d.gauges.Set("jobs_ended", float64(totals.Ended))
+	d.gauges.Set("jobs_late", float64(totals.Late))
+	d.gauges.Set("jobs_failed", float64(totals.Failed))
+	d.gauges.Set("jobs_waited_ms", float64(totals.Waiting))
+	d.gauges.Set("jobs_ran_ms", float64(totals.Running))
+	d.gauges.Set("jobs_lost_ms", float64(totals.TotalLost()))
 }
 
 func (d *Daemon) setReady(ready bool) {
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -46,6 +46,8 @@
 	displacedTasks int
 	// queue is the queue of pending jobs that the job is in, nil for none.
 	queue *jobQueue
+	// timing is where the job's time went, nil when that was not followed from its start.
+	timing *jobTiming
 }
 
 // resetDerived clears what rebuildIndexes derives.
@@ -55,6 +57,7 @@
 	j.openLeases = 0
 	j.displacedTasks = 0
 	j.queue = nil
+	j.timing = nil
 }
 
 // stepCount counts the tasks of one step by their state. Succeeded tasks are among
--- a/internal/state/job_index.go
+++ b/internal/state/job_index.go
@@ -27,6 +27,8 @@
 	waitingTasks      map[identifier.Row]int64
 	unfinishedByRow   map[identifier.Row]int
 	unfinishedByQueue map[string]int64
+	// ended has the jobs that ended since they were last taken.
+	ended []*Job
 }
 
 func newJobIndex() *jobIndex {
@@ -109,6 +111,24 @@
 	return queue
 }
 
+// maxEndedKept bounds the ended jobs that wait to be taken.
+const maxEndedKept = 4096
+
+func (x *jobIndex) markEnded(j *Job) {
+	if len(x.ended) < maxEndedKept {
+		x.ended = append(x.ended, j)
+	}
+}
+
+// TakeEndedJobs visits the jobs that have ended since the last call, in that order, and
+// forgets them.
+func (s *Store) TakeEndedJobs(visit func(j *Job)) {
+	for _, j := range s.jobIndex.ended {
+		visit(j)
+	}
+	s.jobIndex.ended = s.jobIndex.ended[:0]
+}
+
 // nextDelayed returns the delayed job with the earliest start, nil for none.
 func (x *jobIndex) nextDelayed() *Job { return firstJob(x.delayed) }
 
--- a/internal/state/job_lifecycle.go
+++ b/internal/state/job_lifecycle.go
@@ -58,6 +58,8 @@
 	}
 	j.EndState = j.finalState()
 	j.EndedAt = s.Now
+	j.timeCompleted()
+	s.jobIndex.markEnded(j)
 	s.EndedJobs = append(s.EndedJobs, j.Key)
 	s.jobIndex.unfinishedByRow[j.Spec.Row]--
 	s.leaveQueue(j)
--- a/internal/state/placement.go
+++ b/internal/state/placement.go
@@ -130,6 +130,8 @@
 		}
 		s.jobIndex.clearDisplaced(j, task)
 		s.openLease(lease)
+		preferred := j.Spec.Steps[ref.Step].PreferredRack
+		j.timeOpened(lease, preferred != "" && preferred != s.Runners[lease.Runner].Rack)
 		s.setTaskState(j, ref, Placed)
 	}
 	s.jobIndex.update(j, s.Now)
--- a/internal/state/submit.go
+++ b/internal/state/submit.go
@@ -106,6 +106,7 @@
 		j.Steps = append(j.Steps, tasks)
 		s.jobIndex.countTasks(j, step, Waiting, len(tasks))
 	}
+	j.timing = newJobTiming(j)
 	s.Jobs[j.Key] = j
 	s.jobIndex.add(j)
 	s.jobIndex.update(j, s.Now)
--- a/internal/state/transitions.go
+++ b/internal/state/transitions.go
@@ -8,6 +8,9 @@
 	task := j.Task(ref)
 	s.jobIndex.countTasks(j, ref.Step, task.State, -1)
 	task.State = taskState
+	if taskState == Succeeded {
+		j.timeSucceeded(ref, s.Now)
+	}
 	s.foldChecksum(j.Seq, uint64(ref.Step), uint64(ref.Num), hashText(string(taskState)), uint64(task.Defects))
 	s.jobIndex.countTasks(j, ref.Step, taskState, 1)
 	if taskState.Ended() {
