--- /dev/null
+++ b/tests/ablation/compare.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strings"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// allDays is the row of a comparison for all days together.
+const allDays = "all"
+
+// row compares a version with the first one, over the copies of one day or over all days.
+type row struct {
+	version string
+	day     string
+	pairs   int
+	// mean is that of the version's scores; difference that of the differences from the
+	// first version, pair by pair, and standardError its own.
+	mean          float64
+	difference    float64
+	standardError float64
+	broken        int
+}
+
+// compare makes the rows of all versions, the first one's with differences of 0.
+func compare(results []played) []row {
+	base := map[string]dayResult{}
+	for _, day := range results[0].days {
+		base[day.Name] = day
+	}
+	var rows []row
+	for _, version := range results {
+		byDay := map[string][]dayResult{}
+		for _, day := range version.days {
+			if _, ok := base[day.Name]; !ok || strings.HasPrefix(day.Name, freshDay) {
+				continue
+			}
+			name := originalDay(day.Name)
+			byDay[name] = append(byDay[name], day)
+			byDay[allDays] = append(byDay[allDays], day)
+		}
+		for _, name := range sortedDays(byDay) {
+			rows = append(rows, newRow(version.version, name, byDay[name], base))
+		}
+	}
+	return rows
+}
+
+// sortedDays lists the days by name, all of them together first.
+func sortedDays(byDay map[string][]dayResult) []string {
+	var names []string
+	for name := range byDay {
+		if name != allDays {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return append([]string{allDays}, names...)
+}
+
+func newRow(version, day string, days []dayResult, base map[string]dayResult) row {
+	r := row{version: version, day: day, pairs: len(days)}
+	var scores, differences []float64
+	for _, played := range days {
+		scores = append(scores, played.Score)
+		differences = append(differences, played.Score-base[played.Name].Score)
+		if played.broken() {
+			r.broken++
+		}
+	}
+	if len(days) == 0 {
+		return r
+	}
+	r.mean = stat.Mean(scores, nil)
+	var deviation float64
+	r.difference, deviation = stat.MeanStdDev(differences, nil)
+	if len(days) > 1 {
+		r.standardError = stat.StdErr(deviation, float64(len(differences)))
+	} else {
+		r.standardError = math.NaN()
+	}
+	return r
+}
+
+func printRows(w io.Writer, site string, rows []row) {
+	fmt.Fprintf(w, "%s\n| version | day | pairs | score | difference | standard error | broken |\n", site)
+	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- |")
+	for _, r := range rows {
+		fmt.Fprintf(w, "| %s | %s | %d | %.3f | %+.3f | %.3f | %d |\n",
+			r.version, r.day, r.pairs, r.mean, r.difference, r.standardError, r.broken)
+	}
+}
--- /dev/null
+++ b/tests/ablation/edits.go
@@ -0,0 +1,67 @@
+package main
+
+import "orchidward/tests/sourceedit"
+
+// ablations switch one mechanism off each.
+var ablations = map[string][]sourceedit.Edit{
+	"no-timeliness": {{
+		File:        "internal/scheduler/queues.go",
+		Original:    "	case end <= j.Terms.DueAt:\n		return onTime\n",
+		Replacement: "	case end <= j.Terms.DueAt || j.Terms.Target >= 0:\n		return onTime\n",
+	}},
+	"no-priority": {{
+		File:        "internal/state/job_queue.go",
+		Original:    "		cmp.Compare(x.Terms.Priority, y.Terms.Priority),\n",
+		Replacement: "",
+	}},
+	"no-reservation": {{
+		File:        "internal/scheduler/queues.go",
+		Original:    "	c.poolReserved[pool] = true\n	reserve(u, nodes)\n",
+		Replacement: "	c.poolReserved[pool] = true\n",
+	}},
+	"no-tight-fit": {{
+		File:        "internal/scheduler/node.go",
+		Original:    "	score := left.Share(n.runner.Capacity)/1000 + 2*defectRate(n.runner)\n",
+		Replacement: "	score := -left.Share(n.runner.Capacity)/1000 + 2*defectRate(n.runner)\n",
+	}},
+	"no-avoid": {{
+		File:        "internal/scheduler/node.go",
+		Original:    "		score += avoidPenalty\n",
+		Replacement: "		score += 0 * avoidPenalty\n",
+	}},
+	"no-trial": {{
+		File:        "internal/scheduler/node.go",
+		Original:    "	return r.Defects >= minTrialDefects && defectRate(r)",
+		Replacement: "	return r.Defects >= 1000*minTrialDefects && defectRate(r)",
+	}},
+	"no-leaving-rack": {{
+		File:        "internal/scheduler/node.go",
+		Original:    "		score += rackLeavingPenalty\n",
+		Replacement: "		score += 0 * rackLeavingPenalty\n",
+	}},
+	"no-work-rate": {{
+		File:        "internal/scheduler/node.go",
+		Original:    "	if n.workRate < slowWorkRate {\n",
+		Replacement: "	if n.workRate < slowWorkRate*0 {\n",
+	}},
+	"no-slow-move": {{
+		File:        "internal/controlplane/runner_health.go",
+		Original:    "	if !slowRunner || !slowRun ||",
+		Replacement: "	if true || !slowRunner || !slowRun ||",
+	}},
+	"no-stall-revocation": {{
+		File:        "internal/controlplane/runner_health.go",
+		Original:    "	return p.stalledFor+s.now.Since(c.lastHeard) > span\n",
+		Replacement: "	return p.stalledFor+s.now.Since(c.lastHeard) > 1000*span\n",
+	}},
+	"no-quarantine": {{
+		File:        "internal/controlplane/runner_health.go",
+		Original:    "	return contact.agent != nil && s.now < contact.agent.quarantinedUntil\n",
+		Replacement: "	return contact.agent != nil && s.now < 0*contact.agent.quarantinedUntil\n",
+	}},
+	"no-checkpoints": {{
+		File:        "internal/state/checkpoints.go",
+		Original:    "	if data == \"\" || j.Terms == nil ||",
+		Replacement: "	if data != \"\" || j.Terms == nil ||",
+	}},
+}
--- /dev/null
+++ b/tests/ablation/main_test.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"errors"
+	"math"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+
+	"orchidward/tests/sourceedit"
+)
+
+// TestAblationsApply: the text that each edit replaces stands in its file once.
+func TestAblationsApply(t *testing.T) {
+	for name, edits := range ablations {
+		if len(edits) == 0 {
+			t.Errorf("%s changes nothing", name)
+		}
+		for _, edit := range edits {
+			if err := edit.Check("../.."); err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+			if edit.Original == edit.Replacement {
+				t.Errorf("%s changes nothing in %s", name, edit.File)
+			}
+		}
+	}
+}
+
+// TestAblationsBuild: with each edit the packages that decide still build.
+func TestAblationsBuild(t *testing.T) {
+	t.Chdir("../..")
+	for name, edits := range ablations {
+		dir := t.TempDir()
+		if err := sourceedit.CopyTree(dir); err != nil {
+			t.Fatal(err)
+		}
+		if err := applyAll(dir, edits); err != nil {
+			t.Fatal(err)
+		}
+		cmd := exec.Command("go", "build", "./internal/controlplane")
+		cmd.Dir = dir
+		if output, err := cmd.CombinedOutput(); err != nil {
+			t.Errorf("%s: %v: %s", name, err, output)
+		}
+	}
+}
+
+const twoDays = `name = "site"
+[[day]]
+name = "a-1"
+seed = 10
+[[day]]
+name = "b-1"
+seed = 20
+`
+
+// TestMultiplyDays: each chosen day stands there once for each seed, the others not at all.
+func TestMultiplyDays(t *testing.T) {
+	have, err := multiplyDays(twoDays, []string{"b-1"}, 2)
+	want := "name = \"site\"\n[[day]]\nname = \"b-1-s0\"\nseed = 20\n[[day]]\nname = \"b-1-s1\"\nseed = 7939\n"
+	if err != nil || have != want {
+		t.Errorf("have %q, %v", have, err)
+	}
+	if all, _ := multiplyDays(twoDays, []string{""}, 3); strings.Count(all, dayMark) != 6 {
+		t.Errorf("all days, three seeds: %s", all)
+	}
+	if _, err := multiplyDays(twoDays, []string{"c"}, 1); !errors.Is(err, errNoSuchDay) {
+		t.Errorf("an unknown day: %v", err)
+	}
+}
+
+// TestCompare: differences are taken pair by pair, and days that the bench drew are left out.
+func TestCompare(t *testing.T) {
+	day := func(name string, score float64) dayResult { return dayResult{Name: name, Score: score} }
+	first := played{"x", []dayResult{day("a-1-s0", 0.2), day("a-1-s1", 0.6), day("fresh-1", 1)}}
+	second := played{"y", []dayResult{day("a-1-s1", 0.9), day("a-1-s0", 0.3), day("fresh-2", 0)}}
+	second.days[0].Rules = map[string]int64{"LOST": 1}
+	rows := compare([]played{first, second})
+	last := rows[len(rows)-1]
+	if last.version != "y" || last.day != "a-1" || last.pairs != 2 || last.broken != 1 {
+		t.Fatalf("the last row is %+v", last)
+	}
+	if math.Abs(last.difference-0.2) > 1e-9 || math.Abs(last.standardError-0.1) > 1e-9 {
+		t.Errorf("difference %f with a standard error of %f, want 0.2 and 0.1", last.difference, last.standardError)
+	}
+	path := t.TempDir() + "/plot.svg"
+	if err := plot(path, rows); err != nil {
+		t.Fatal(err)
+	}
+	if info, err := os.Stat(path); err != nil || info.Size() == 0 {
+		t.Errorf("no plot: %v", err)
+	}
+}
--- a/tests/mutation/consensus.go
+++ b/tests/mutation/consensus.go
@@ -1,5 +1,7 @@
 package main
 
+import "orchidward/tests/sourceedit"
+
 // consensusMutations break elections, replication, leases and changes of membership.
 var consensusMutations = []mutation{
 	{
@@ -143,11 +145,11 @@
 		file:        "internal/consensus/raft/peer.go",
 		original:    "if m.SentAt >= electedAt && m.SentAt <= now {",
 		replacement: "if m.SentAt > 0 {",
-		also: []edit{
+		also: []sourceedit.Edit{
 			{
-				file:        "internal/consensus/raft/step.go",
-				original:    "SentAt: never})",
-				replacement: "SentAt: m.SentAt})",
+				File:        "internal/consensus/raft/step.go",
+				Original:    "SentAt: never})",
+				Replacement: "SentAt: m.SentAt})",
 			},
 		},
 		tests: test("./internal/consensus/raft", "TestMessageBeforeRestartRenewsNoLease"),
--- a/tests/mutation/jobs.go
+++ b/tests/mutation/jobs.go
@@ -1,5 +1,7 @@
 package main
 
+import "orchidward/tests/sourceedit"
+
 // jobMutations break the state of jobs, leases and drains, and the scheduler.
 var jobMutations = []mutation{
 	{
@@ -39,16 +41,16 @@
 		file:        "internal/state/drain_scope.go",
 		original:    "runner.cordonedBy = id",
 		replacement: `runner.cordonedBy = ""`,
-		also: []edit{
+		also: []sourceedit.Edit{
 			{
-				file:        "internal/controlplane/poll_answers.go",
-				original:    `case !contact.running[lease.ID] && !contact.draining && runner.CordonedBy() == "":`,
-				replacement: "case !contact.running[lease.ID]:",
+				File:        "internal/controlplane/poll_answers.go",
+				Original:    `case !contact.running[lease.ID] && !contact.draining && runner.CordonedBy() == "":`,
+				Replacement: "case !contact.running[lease.ID]:",
 			},
 			{
-				file:        "internal/controlplane/scheduling.go",
-				original:    "contact.hasPolled && !contact.draining &&",
-				replacement: "contact.hasPolled &&",
+				File:        "internal/controlplane/scheduling.go",
+				Original:    "contact.hasPolled && !contact.draining &&",
+				Replacement: "contact.hasPolled &&",
 			},
 		},
 		tests: faultSequences("racks"),
--- a/tests/mutation/main_test.go
+++ b/tests/mutation/main_test.go
@@ -1,11 +1,6 @@
 package main
 
-import (
-	"os"
-	"path/filepath"
-	"strings"
-	"testing"
-)
+import "testing"
 
 // minMutations guards against a table that is no longer listed.
 const minMutations = 138
@@ -18,13 +13,8 @@
 	}
 	for _, m := range allMutations() {
 		for _, e := range m.edits() {
-			text, err := os.ReadFile(filepath.Join("../..", e.file))
-			if err != nil {
-				t.Error(err)
-				continue
-			}
-			if n := strings.Count(string(text), e.original); n != 1 {
-				t.Errorf("%s: %q stands %d times in %s", m.name, e.original, n, e.file)
+			if err := e.Check("../.."); err != nil {
+				t.Errorf("%s: %v", m.name, err)
 			}
 		}
 	}
--- a/tests/mutation/membership.go
+++ b/tests/mutation/membership.go
@@ -1,5 +1,7 @@
 package main
 
+import "orchidward/tests/sourceedit"
+
 // membershipMutations break how servers found a group, join, leave and are replaced.
 var membershipMutations = []mutation{
 	{
@@ -39,11 +41,11 @@
 		file:        "internal/controlplane/membership_plan.go",
 		original:    "p.votersByDomain[member.Domain] < p.votersByDomain[p.readyLearner.Domain]",
 		replacement: "member.ID < p.readyLearner.ID",
-		also: []edit{
+		also: []sourceedit.Edit{
 			{
-				file:        "internal/controlplane/membership_plan.go",
-				original:    "p.votersByDomain[p.readyLearner.Domain]+1",
-				replacement: "99",
+				File:        "internal/controlplane/membership_plan.go",
+				Original:    "p.votersByDomain[p.readyLearner.Domain]+1",
+				Replacement: "99",
 			},
 		},
 		tests: test("./tests/simulation/membership", "TestFiveVoters|TestDomainLost"),
--- a/tests/mutation/mutation.go
+++ b/tests/mutation/mutation.go
@@ -1,12 +1,12 @@
 package main
 
 import (
-	"fmt"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"slices"
 	"strings"
+
+	"orchidward/tests/sourceedit"
 )
 
 // testTimeout bounds the tests of one mutation, as the go command writes it.
@@ -22,20 +22,13 @@
 	replacement string
 	// also are further edits. Some promises are kept by two checks, and only a tree
 	// without both breaks them.
-	also []edit
+	also []sourceedit.Edit
 	// tests are the arguments of go test.
 	tests []string
 	// want is in what the failing tests print.
 	want string
 }
 
-// edit replaces a text that stands once in a file.
-type edit struct {
-	file        string
-	original    string
-	replacement string
-}
-
 // test are the arguments that run the tests of a package whose names match.
 func test(pkg, pattern string) []string { return []string{pkg, "-run", pattern} }
 
@@ -64,9 +57,9 @@
 }
 
 // edits lists all edits of the mutation.
-func (m mutation) edits() []edit {
-	first := edit{file: m.file, original: m.original, replacement: m.replacement}
-	return append([]edit{first}, m.also...)
+func (m mutation) edits() []sourceedit.Edit {
+	first := sourceedit.Edit{File: m.file, Original: m.original, Replacement: m.replacement}
+	return append([]sourceedit.Edit{first}, m.also...)
 }
 
 // run breaks a copy of the tree and returns the line by which its tests notice that.
@@ -76,38 +69,17 @@
 		return "", err
 	}
 	defer os.RemoveAll(dir)
-	if err := copyTree(dir); err != nil {
+	if err := sourceedit.CopyTree(dir); err != nil {
 		return "", err
 	}
 	for _, e := range m.edits() {
-		if err := e.apply(dir); err != nil {
+		if err := e.Apply(dir); err != nil {
 			return "", err
 		}
 	}
 	return m.runTests(dir)
 }
 
-// copyTree copies the files that git tracks.
-func copyTree(dir string) error {
-	output, err := exec.Command("sh", "-c", "git ls-files -z | xargs -0 cp --parents -t "+dir).CombinedOutput()
-	if err != nil {
-		return fmt.Errorf("copy the tree: %w: %s", err, output)
-	}
-	return nil
-}
-
-func (e edit) apply(dir string) error {
-	path := filepath.Join(dir, e.file)
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return err
-	}
-	if n := strings.Count(string(text), e.original); n != 1 {
-		return fmt.Errorf("%q stands %d times in %s, want once", e.original, n, e.file)
-	}
-	return os.WriteFile(path, []byte(strings.Replace(string(text), e.original, e.replacement, 1)), 0o644)
-}
-
 // runTests runs the mutation's tests in a broken tree. They must fail, and say what the
 // mutation wants: a build that fails, or another test, notices nothing.
 func (m mutation) runTests(dir string) (noticedBy string, err error) {
--- a/tests/mutation/requests.go
+++ b/tests/mutation/requests.go
@@ -1,5 +1,7 @@
 package main
 
+import "orchidward/tests/sourceedit"
+
 // requestMutations break the way of a request and of its answer.
 var requestMutations = []mutation{
 	{
@@ -7,11 +9,11 @@
 		file:        "internal/gateway/gateway.go",
 		original:    "return g.routing.rules != nil && now.Since(g.sync.leaderHeardAt) < LeaderContactTimeout",
 		replacement: "return g.routing.rules != nil",
-		also: []edit{
+		also: []sourceedit.Edit{
 			{
-				file:        "internal/gateway/requests.go",
-				original:    "case r.Method != http.MethodGet && g.stalls.Draining(g.now):",
-				replacement: "case false:",
+				File:        "internal/gateway/requests.go",
+				Original:    "case r.Method != http.MethodGet && g.stalls.Draining(g.now):",
+				Replacement: "case false:",
 			},
 		},
 		tests: test("./tests/simulation/scenarios", "TestResumedGateway"),
@@ -222,16 +224,16 @@
 		file:        "internal/transport/link/streams.go",
 		original:    "\twriter := newMessageWriter(c, conn)\n\tfor {\n",
 		replacement: "\twriter := newMessageWriter(c, conn)\n\tidle := time.NewTimer(l.idleTimeout).C\n\tfor {\n",
-		also: []edit{
+		also: []sourceedit.Edit{
 			{
-				file:        "internal/transport/link/streams.go",
-				original:    "\tdefer conn.Close()\n\twriter := newMessageWriter(c, conn)\n",
-				replacement: "\twriter := newMessageWriter(c, conn)\n",
+				File:        "internal/transport/link/streams.go",
+				Original:    "\tdefer conn.Close()\n\twriter := newMessageWriter(c, conn)\n",
+				Replacement: "\twriter := newMessageWriter(c, conn)\n",
 			},
 			{
-				file:        "internal/transport/link/streams.go",
-				original:    "\t\tcase <-readEnded:\n\t\t\treturn\n",
-				replacement: "\t\tcase <-readEnded:\n\t\t\treturn\n\t\tcase <-idle:\n\t\t\treturn\n",
+				File:        "internal/transport/link/streams.go",
+				Original:    "\t\tcase <-readEnded:\n\t\t\treturn\n",
+				Replacement: "\t\tcase <-readEnded:\n\t\t\treturn\n\t\tcase <-idle:\n\t\t\treturn\n",
 			},
 		},
 		tests: test("./internal/transport/link", "TestIdleConnectionAnswered"),
--- a/tests/mutation/versions.go
+++ b/tests/mutation/versions.go
@@ -1,5 +1,7 @@
 package main
 
+import "orchidward/tests/sourceedit"
+
 // versionMutations break what keeps servers of different versions apart.
 var versionMutations = []mutation{
 	{
@@ -7,11 +9,11 @@
 		file:        "internal/controlplane/levels.go",
 		original:    "if status.SilentFor > levelSilentLimit || status.Level <= s.state.Level {",
 		replacement: "if status.SilentFor > levelSilentLimit {",
-		also: []edit{
+		also: []sourceedit.Edit{
 			{
-				file:        "internal/controlplane/levels.go",
-				original:    "to = min(to, status.Level)",
-				replacement: "",
+				File:        "internal/controlplane/levels.go",
+				Original:    "to = min(to, status.Level)",
+				Replacement: "",
 			},
 		},
 		tests: test("./tests/simulation/scenarios", "TestUpgrade"),
