--- a/internal/controlplane/agent_polls.go
+++ b/internal/controlplane/agent_polls.go
@@ -9,7 +9,7 @@
 	"orchidward/internal/api/identifier"
 	"orchidward/internal/api/runnerapi"
 	"orchidward/internal/clock"
-	"orchidward/internal/scheduler"
+	"orchidward/internal/prediction"
 	"orchidward/internal/state"
 )
 
@@ -30,11 +30,13 @@
 	// sentStops and sentObservedThrough are what the last answer said.
 	sentStops           map[runnerapi.RunStop]bool
 	sentObservedThrough uint64
-	// workRate is how fast work goes here, in thousandths of what its estimates say, and
-	// workRateAt when it was last known. quarantinedUntil is until when nothing is
+	// workRate is how fast work goes here, in thousandths of the nominal rate, and
+	// workRateAt when it was last known. rateEvidence is what the runs of the last poll
+	// say of it. quarantinedUntil is until when nothing is
 	// placed here.
 	workRate         int64
 	workRateAt       clock.Monotonic
+	rateEvidence     prediction.Evidence
 	quarantinedUntil clock.Monotonic
 	// noStallBefore is until when no attempt of the last poll can have stalled for too
 	// long.
@@ -66,7 +68,7 @@
 		previousCheckpoints: previous,
 		runs:                map[identifier.LeaseID]*agentRun{},
 		sentStops:           map[runnerapi.RunStop]bool{},
-		workRate:            scheduler.NominalWorkRate,
+		workRate:            prediction.NominalRate,
 	}
 }
 
--- a/internal/controlplane/apply.go
+++ b/internal/controlplane/apply.go
@@ -116,6 +116,7 @@
 		return
 	}
 	firstLease := s.state.NextLease
+	s.observeEnds(command)
 	result := s.state.Apply(command)
 	s.clusterTime.entryApplied(s.state.Now, entry.Term, arrivedAt, s.now)
 	s.trackRouting()
--- a/internal/controlplane/leader.go
+++ b/internal/controlplane/leader.go
@@ -3,6 +3,7 @@
 import (
 	"orchidward/internal/api/identifier"
 	"orchidward/internal/clock"
+	"orchidward/internal/prediction"
 	"orchidward/internal/state"
 )
 
@@ -32,6 +33,10 @@
 	leases leaseConfirmations
 	drains drainProgress
 	cycle  schedulingCycle
+	// durations predicts how long tasks run; commonRate is what the rates of the runners
+	// have in common, as a logarithm.
+	durations  *prediction.Durations
+	commonRate float64
 	// jobTimes is where the time of jobs went.
 	jobTimes jobTimes
 
@@ -63,6 +68,7 @@
 		leases:          newLeaseConfirmations(),
 		drains:          newDrainProgress(),
 		cycle:           schedulingCycle{needed: true, lastAt: -clock.Monotonic(schedulingInterval)},
+		durations:       prediction.NewDurations(),
 		jobTimes:        newJobTimes(s.now),
 		maxVotersLiveAt: s.now,
 		transfers:       map[identifier.Node]observedTransfer{},
--- a/internal/controlplane/run_progress.go
+++ b/internal/controlplane/run_progress.go
@@ -4,39 +4,52 @@
 	"orchidward/internal/api/identifier"
 	"orchidward/internal/api/runnerapi"
 	"orchidward/internal/clock"
-	"orchidward/internal/scheduler"
+	"orchidward/internal/prediction"
+	"orchidward/internal/state"
 )
 
 const (
-	// maxCountedRate bounds the rate of one attempt, in thousandths.
-	maxCountedRate = 2000
 	// workRateTTL is how long a rate counts without new evidence.
 	workRateTTL clock.Millis = 4000
-	// fullEstimate is the progress, in percent, of an attempt that has taken as long as
-	// was estimated; past that it tells no more.
-	fullEstimate = 99
+	// completePercent is the progress, in percent, of an attempt that is as good as done;
+	// past that it tells no more.
+	completePercent = 99
+	// wholeTask is a whole task in the unit of rates, thousandths of a task, times the
+	// milliseconds of a second: divided by a rate it is the run of the whole task.
+	wholeTask = 1000 * 1000
 )
 
 // runProgress is how an attempt has come along: its progress when first seen and now, in
-// percent, and how long it had stalled at the last poll.
+// percent of the task's work, and how long it had stalled at the last poll.
 type runProgress struct {
 	firstPercent int64
 	percent      int64
 	stalledFor   clock.Millis
-	// rate is how fast it goes, in thousandths of its estimate; 0 for unknown.
+	// rate is how fast it goes, in thousandths of the task a second; 0 for unknown.
 	rate int64
 }
 
-// recordProgress takes what an attempt says of itself. An agent reports the rate in
-// thousandths of the task a second, so that the expected run in milliseconds, divided by
-// a thousand, makes thousandths of the estimate of it.
+// wholeRun is how long the whole task takes at the attempt's rate, 0 for unknown.
+func (p *runProgress) wholeRun() clock.Millis {
+	if p.rate <= 0 {
+		return 0
+	}
+	return clock.Millis(wholeTask / p.rate)
+}
+
+// remaining is how long the rest of the task takes at the attempt's rate, 0 for unknown.
+func (p *runProgress) remaining() clock.Millis {
+	return p.wholeRun() * clock.Millis(100-p.percent) / 100
+}
+
+// recordProgress takes what an attempt says of itself.
 func (s *Server) recordProgress(agent *agentRunner, run *agentRun, reported runnerapi.RunState) {
 	lease := s.state.Leases[run.lease]
 	if lease == nil {
 		return
 	}
 	if reported.StalledFor > 0 {
-		agent.noStallBefore = min(agent.noStallBefore, s.now.Add(stallLimit(lease)-reported.StalledFor))
+		agent.noStallBefore = min(agent.noStallBefore, s.now.Add(s.stallLimit(lease)-reported.StalledFor))
 	}
 	if run.progress == nil {
 		run.progress = &runProgress{firstPercent: reported.ProgressPercent, percent: reported.ProgressPercent, stalledFor: reported.StalledFor}
@@ -45,39 +58,94 @@
 	progress := run.progress
 	progress.stalledFor = reported.StalledFor
 	progress.percent = reported.ProgressPercent
-	progress.rate = reported.ProgressRate * int64(lease.ExpectedRun) / 1000
-	if reported.ProgressPercent >= fullEstimate {
+	progress.rate = reported.ProgressRate
+	if reported.ProgressPercent >= completePercent {
 		progress.rate = 0
 	}
 }
 
-// updateWorkRate takes the rate of a runner from those of its attempts that tell one.
-// Members of a gang that spans several runners go as fast as the slowest of them, and say
-// nothing of their own. Old evidence is forgotten.
+// updateWorkRate takes the rate of a runner from those of its attempts that tell one,
+// against what was predicted of them. Members of a gang that spans several runners go as
+// fast as the slowest of them, and say nothing of their own. Old evidence is forgotten.
 func (s *Server) updateWorkRate(agent *agentRunner) {
-	var sum int64
-	var count int64
+	agent.rateEvidence = prediction.Evidence{}
 	for id, run := range agent.runs {
-		progress := run.progress
 		lease := s.state.Leases[id]
-		if progress != nil && progress.rate > 0 && lease != nil && !spansRunners(lease, s.state.Partners(lease)) {
-			sum += min(progress.rate, maxCountedRate)
-			count++
+		if run.progress == nil || run.progress.rate <= 0 || lease == nil || spansRunners(lease, s.state.Partners(lease)) {
+			continue
 		}
+		predicted, deviation := s.predictedRun(lease)
+		agent.rateEvidence.Add(float64(run.progress.rate), wholeTask/float64(predicted), deviation)
 	}
 	switch {
-	case count > 0:
-		agent.workRate = sum / count
+	case agent.rateEvidence.Any():
+		agent.workRate = agent.rateEvidence.Rate(s.leader.commonRate)
 		agent.workRateAt = s.now
 	case s.now.Since(agent.workRateAt) > workRateTTL:
-		agent.workRate = scheduler.NominalWorkRate
+		agent.workRate = prediction.NominalRate
+	}
+}
+
+// updateCommonRate takes what the runners' rates have in common.
+func (s *Server) updateCommonRate() {
+	var evidence []prediction.Evidence
+	for _, name := range s.state.RunnerNames() {
+		if contact := s.leader.runners[name]; contact != nil && contact.agent != nil {
+			evidence = append(evidence, contact.agent.rateEvidence)
+		}
+	}
+	s.leader.commonRate = prediction.Common(evidence)
+}
+
+// predictedRun is how long an attempt was to run on a runner of the nominal rate, away from
+// its data if it is, and by which deviation that is usually wrong.
+func (s *Server) predictedRun(lease *state.Lease) (run clock.Millis, deviation float64) {
+	j := s.state.Jobs[lease.Task.Job]
+	run = lease.ExpectedRun
+	if j.Terms == nil {
+		return max(run, 1), 1
+	}
+	run, deviation = s.leader.durations.Predict(j.Terms.Queue, run)
+	if s.distant(lease) {
+		run = clock.Millis(float64(run) * s.leader.durations.DistantFactor())
+	}
+	return run, deviation
+}
+
+// distant reports whether an attempt runs away from its data.
+func (s *Server) distant(lease *state.Lease) bool {
+	preferred := s.state.Jobs[lease.Task.Job].Spec.Steps[lease.Task.Step].PreferredRack
+	return preferred != "" && preferred != s.state.Runners[lease.Runner].Rack
+}
+
+// observeEnds takes the runs of the attempts that an entry is about to end well.
+func (s *Server) observeEnds(command *state.Command) {
+	if s.leader == nil || command.ReportEnds == nil {
+		return
+	}
+	for _, end := range command.ReportEnds.Ends {
+		lease := s.state.Leases[end.Lease]
+		if lease == nil || end.Outcome != state.OutcomeSuccess {
+			continue
+		}
+		j := s.state.Jobs[lease.Task.Job]
+		if j.Terms == nil || j.Task(lease.Task).Checkpoint != "" {
+			continue
+		}
+		s.leader.durations.Observe(prediction.Run{
+			Queue:      j.Terms.Queue,
+			Estimate:   lease.ExpectedRun,
+			Duration:   max(command.At, s.state.Now).Since(lease.OpenedAt),
+			Distant:    s.distant(lease),
+			RunnerRate: s.workRate(lease.Runner),
+		})
 	}
 }
 
-// workRate is how fast work goes on a runner, in thousandths of its estimates.
+// workRate is how fast work goes on a runner, in thousandths of the nominal rate.
 func (s *Server) workRate(name identifier.Runner) int64 {
 	if contact := s.leader.runners[name]; contact != nil && contact.agent != nil {
 		return contact.agent.workRate
 	}
-	return scheduler.NominalWorkRate
+	return prediction.NominalRate
 }
--- a/internal/controlplane/runner_health.go
+++ b/internal/controlplane/runner_health.go
@@ -6,6 +6,7 @@
 	"orchidward/internal/api/identifier"
 	"orchidward/internal/api/job"
 	"orchidward/internal/clock"
+	"orchidward/internal/prediction"
 	"orchidward/internal/scheduler"
 	"orchidward/internal/state"
 )
@@ -24,9 +25,6 @@
 	restoreTime clock.Millis = 800
 	// quarantineTime is how long a runner gets no work after an attempt stalled.
 	quarantineTime clock.Millis = 6000
-	// slowWorkRate is the rate under which a runner is slow, in thousandths: below what a
-	// wrong estimate, a distant rack and an old machine come to together.
-	slowWorkRate = 350
 	// minMoveGain is what moving an attempt costs at least, and what must be gained.
 	minMoveGain clock.Millis = 400
 	// maxRevocations bounds the attempts revoked at once.
@@ -43,7 +41,10 @@
 }
 
 // stallLimit is the least time without progress that is held against an attempt.
-func stallLimit(lease *state.Lease) clock.Millis { return minStall + lease.ExpectedRun/8 }
+func (s *Server) stallLimit(lease *state.Lease) clock.Millis {
+	run, _ := s.predictedRun(lease)
+	return minStall + run/8
+}
 
 // stalled reports whether an attempt has made no progress for longer than any sound one
 // would, a slow one included: one percent of a slow attempt takes some percent of its
@@ -51,12 +52,13 @@
 func (s *Server) stalled(c *runnerContact, p *runProgress, lease *state.Lease) bool {
 	j := s.state.Jobs[lease.Task.Job]
 	step := j.Spec.Steps[lease.Task.Step]
-	span := stallLimit(lease)
+	span := max(s.stallLimit(lease), minStall+p.wholeRun()/8)
 	switch {
 	case p.stalledFor == 0 || step.Service:
 		return false
-	case p.percent >= fullEstimate:
-		span = 2 * (minStall + lease.ExpectedRun)
+	case p.percent >= completePercent:
+		run, _ := s.predictedRun(lease)
+		span = 2 * (minStall + run)
 	case p.percent == p.firstPercent && j.Task(lease.Task).Checkpoint != "":
 		span += restoreTime
 	}
@@ -95,6 +97,7 @@
 		return
 	}
 	l.lastHealthCheck = s.now
+	s.updateCommonRate()
 	found := &unhealthyRuns{reserved: map[identifier.Runner]job.Demand{}}
 	for _, name := range s.state.RunnerNames() {
 		if c := l.runners[name]; s.worthChecking(c) {
@@ -125,7 +128,7 @@
 	if contact == nil || contact.agent == nil || contact.silentBefore > maxReportSilence || s.now.Since(contact.lastHeard) > maxReportAge {
 		return false
 	}
-	return s.now > contact.agent.noStallBefore || contact.agent.workRate < slowWorkRate
+	return s.now > contact.agent.noStallBefore || contact.agent.workRate < scheduler.SlowWorkRate
 }
 
 // checkRuns judges the attempts on one runner.
@@ -152,19 +155,17 @@
 // began elsewhere, from its checkpoint.
 func (s *Server) fasterElsewhere(contact *runnerContact, progress *runProgress, lease *state.Lease) bool {
 	step := s.state.Jobs[lease.Task.Job].Spec.Steps[lease.Task.Step]
-	slowRunner := contact.agent.workRate < slowWorkRate
-	slowRun := progress.rate > 0 && progress.rate < slowWorkRate
-	if !slowRunner || !slowRun || step.Service || progress.percent >= fullEstimate {
+	workRate := contact.agent.workRate
+	if workRate >= scheduler.SlowWorkRate || progress.rate <= 0 || step.Service {
 		return false
 	}
-	left := lease.ExpectedRun * clock.Millis(100-progress.percent) / 100
-	here := left * scheduler.NominalWorkRate / clock.Millis(progress.rate)
-	there := lease.ExpectedRun
+	// On a runner of the nominal rate the task would take this long from its beginning.
+	there := progress.wholeRun() * clock.Millis(workRate) / prediction.NominalRate
 	if step.Checkpoints {
-		there = min(there, left+restoreTime)
+		there = min(there, there*clock.Millis(100-progress.percent)/100+restoreTime)
 	}
-	// Moving must gain a quarter of the time there, as estimates are wrong, and minMoveGain.
-	return here > there+there/4+minMoveGain
+	// Moving must gain a quarter of the time there, as rates are wrong too, and minMoveGain.
+	return progress.remaining() > there+there/4+minMoveGain
 }
 
 // reserveElsewhere reserves capacity for an attempt, or for its whole gang, on other
@@ -201,7 +202,7 @@
 	if name == from || runner.Pool != s.state.Runners[from].Pool || runner.Gone || runner.CordonedBy() != "" {
 		return false
 	}
-	return contact != nil && contact.agent != nil && contact.agent.workRate >= slowWorkRate
+	return contact != nil && contact.agent != nil && contact.agent.workRate >= scheduler.SlowWorkRate
 }
 
 // neverStarted lists what was placed on agents' runners that are leaving or cordoned and
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -10,6 +10,7 @@
 	"orchidward/internal/api/jsondoc"
 	"orchidward/internal/api/limits"
 	"orchidward/internal/clock"
+	"orchidward/internal/prediction"
 	"orchidward/internal/scheduler/policy"
 	"orchidward/internal/state"
 )
@@ -115,7 +116,7 @@
 
 // scheduleOn runs a cycle in which all runners work at the nominal rate.
 func scheduleOn(store *state.Store, fresh func(r identifier.Runner) bool) Plan {
-	workRate := func(identifier.Runner) int64 { return NominalWorkRate }
+	workRate := func(identifier.Runner) int64 { return prediction.NominalRate }
 	return Schedule(store, RunnerView{Schedulable: fresh, WorkRate: workRate}, policy.NewCache())
 }
 
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -3,6 +3,7 @@
 import (
 	"orchidward/internal/api/identifier"
 	"orchidward/internal/api/job"
+	"orchidward/internal/prediction"
 	"orchidward/internal/scheduler/feasibility"
 	"orchidward/internal/state"
 )
@@ -18,8 +19,7 @@
 	onTrial bool
 	// rackLeaving says that another runner of its rack has announced its departure.
 	rackLeaving bool
-	// workRate is how fast tasks run there, in thousandths of what their estimates say. It
-	// is known for the nodes of pools only.
+	// workRate is how fast tasks run there, in thousandths of the nominal rate. It is known for the nodes of pools only.
 	workRate int64
 }
 
@@ -144,15 +144,16 @@
 	return score
 }
 
-// slowWorkRate is the work rate below which a runner comes last.
-const slowWorkRate = 400
+// SlowWorkRate is the work rate below which a runner is slow, in thousandths of the nominal
+// one.
+const SlowWorkRate = 400
 
 // slowness is what the node's work rate adds to its score.
 func (n *node) slowness() int64 {
-	if n.workRate < slowWorkRate {
+	if n.workRate < SlowWorkRate {
 		return slowPenalty
 	}
-	return max(0, NominalWorkRate-n.workRate)
+	return max(0, prediction.NominalRate-n.workRate)
 }
 
 // bestNode finds the node with the best score for one task, nil when none fits.
--- a/internal/scheduler/queues_test.go
+++ b/internal/scheduler/queues_test.go
@@ -7,6 +7,7 @@
 	"orchidward/internal/api/identifier"
 	"orchidward/internal/api/job"
 	"orchidward/internal/clock"
+	"orchidward/internal/prediction"
 	"orchidward/internal/scheduler/policy"
 	"orchidward/internal/state"
 )
@@ -70,7 +71,7 @@
 			if name == "r00" {
 				return 200
 			}
-			return NominalWorkRate
+			return prediction.NominalRate
 		},
 	}
 	tasks := map[identifier.Runner]int{}
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -33,14 +33,11 @@
 	return Plan{Reasons: Reasons{}, Policies: PolicyResults{}}
 }
 
-// NominalWorkRate is the work rate of a runner on which tasks take as long as estimated.
-const NominalWorkRate = 1000
-
 // RunnerView is what a leader knows of runners beyond the state.
 type RunnerView struct {
 	// Schedulable tells whether the runner may be given tasks now.
 	Schedulable func(r identifier.Runner) bool
-	// WorkRate is how fast tasks run there, in thousandths of what their estimates say.
+	// WorkRate is how fast tasks run there, in thousandths of the nominal rate.
 	WorkRate func(r identifier.Runner) int64
 }
 
--- a/tests/ablation/edits.go
+++ b/tests/ablation/edits.go
@@ -41,13 +41,13 @@
 	}},
 	"no-work-rate": {{
 		File:        "internal/scheduler/node.go",
-		Original:    "	if n.workRate < slowWorkRate {\n",
-		Replacement: "	if n.workRate < slowWorkRate*0 {\n",
+		Original:    "	if n.workRate < SlowWorkRate {\n",
+		Replacement: "	if n.workRate < SlowWorkRate*0 {\n",
 	}},
 	"no-slow-move": {{
 		File:        "internal/controlplane/runner_health.go",
-		Original:    "	if !slowRunner || !slowRun ||",
-		Replacement: "	if true || !slowRunner || !slowRun ||",
+		Original:    "	if workRate >= scheduler.SlowWorkRate ||",
+		Replacement: "	if workRate >= 0*scheduler.SlowWorkRate ||",
 	}},
 	"no-stall-revocation": {{
 		File:        "internal/controlplane/runner_health.go",
