--- a/internal/controlplane/runner_health.go
+++ b/internal/controlplane/runner_health.go
@@ -7,7 +7,6 @@
 	"orchidward/internal/api/job"
 	"orchidward/internal/clock"
 	"orchidward/internal/prediction"
-	"orchidward/internal/scheduler"
 	"orchidward/internal/state"
 )
 
@@ -25,6 +24,9 @@
 	restoreTime clock.Millis = 800
 	// quarantineTime is how long a runner gets no work after an attempt stalled.
 	quarantineTime clock.Millis = 6000
+	// slowWorkRate is the work rate below which a runner is slow, in thousandths of the
+	// nominal one.
+	slowWorkRate = 400
 	// minMoveGain is what moving an attempt costs at least, and what must be gained.
 	minMoveGain clock.Millis = 400
 	// maxRevocations bounds the attempts revoked at once.
@@ -128,7 +130,7 @@
 	if contact == nil || contact.agent == nil || contact.silentBefore > maxReportSilence || s.now.Since(contact.lastHeard) > maxReportAge {
 		return false
 	}
-	return s.now > contact.agent.noStallBefore || contact.agent.workRate < scheduler.SlowWorkRate
+	return s.now > contact.agent.noStallBefore || contact.agent.workRate < slowWorkRate
 }
 
 // checkRuns judges the attempts on one runner.
@@ -156,7 +158,7 @@
 func (s *Server) fasterElsewhere(contact *runnerContact, progress *runProgress, lease *state.Lease) bool {
 	step := s.state.Jobs[lease.Task.Job].Spec.Steps[lease.Task.Step]
 	workRate := contact.agent.workRate
-	if workRate >= scheduler.SlowWorkRate || progress.rate <= 0 || step.Service {
+	if workRate >= slowWorkRate || progress.rate <= 0 || step.Service {
 		return false
 	}
 	// On a runner of the nominal rate the task would take this long from its beginning.
@@ -202,7 +204,7 @@
 	if name == from || runner.Pool != s.state.Runners[from].Pool || runner.Gone || runner.CordonedBy() != "" {
 		return false
 	}
-	return contact != nil && contact.agent != nil && contact.agent.workRate >= scheduler.SlowWorkRate
+	return contact != nil && contact.agent != nil && contact.agent.workRate >= slowWorkRate
 }
 
 // neverStarted lists what was placed on agents' runners that are leaving or cordoned and
--- a/internal/controlplane/scheduling.go
+++ b/internal/controlplane/scheduling.go
@@ -27,7 +27,7 @@
 	}
 	cycle.needed = false
 	cycle.lastAt = s.now
-	plan := scheduler.Schedule(s.state, scheduler.RunnerView{Schedulable: s.schedulable(), WorkRate: s.workRate}, s.policyCache)
+	plan := scheduler.Schedule(s.state, s.runnerView(), s.policyCache)
 	s.waitReasons = plan.Reasons
 	s.recordPolicyResults(plan.Policies)
 	if len(plan.Preemptions) > 0 {
@@ -39,6 +39,15 @@
 	}
 }
 
+// runnerView is what the scheduler is told of the runners beyond the state.
+func (s *Server) runnerView() scheduler.RunnerView {
+	return scheduler.RunnerView{
+		Schedulable:   s.schedulable(),
+		WorkRate:      s.workRate,
+		DistantFactor: int64(s.leader.durations.DistantFactor() * 1000),
+	}
+}
+
 // schedulableSilence is how long a runner may be silent and still be given work.
 func (s *Server) schedulableSilence() clock.Millis { return 2 * s.startTimeout() }
 
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -117,7 +117,7 @@
 // scheduleOn runs a cycle in which all runners work at the nominal rate.
 func scheduleOn(store *state.Store, fresh func(r identifier.Runner) bool) Plan {
 	workRate := func(identifier.Runner) int64 { return prediction.NominalRate }
-	return Schedule(store, RunnerView{Schedulable: fresh, WorkRate: workRate}, policy.NewCache())
+	return Schedule(store, RunnerView{Schedulable: fresh, WorkRate: workRate, DistantFactor: 2000}, policy.NewCache())
 }
 
 // scheduleAndPlace runs a cycle and applies its placements.
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -118,20 +118,31 @@
 	return step.Demand.Fits(n.unreserved()) && n.eligible(step)
 }
 
-// What is added to a node's score. The score of the tightest fit is from 0 to 1000.
+// What is added to a node's score. The score of the tightest fit is from 0 to 1000, divided
+// by a number that depends on who asks.
 const (
 	rackLeavingPenalty = 2_000
-	otherRackPenalty   = 5_000
 	trialPenalty       = 10_000
-	slowPenalty        = 20_000
 	avoidPenalty       = 100_000
 )
 
+const (
+	// rowTightFitDivisor leaves the tightest fit its weight for jobs of rows;
+	// queueTightFitDivisor makes it decide among nodes on which a task of a queue runs
+	// about as long.
+	rowTightFitDivisor   = 1
+	queueTightFitDivisor = 10
+	// minWorkRate bounds what a slow node can cost.
+	minWorkRate = 50
+	// onePart is a whole in thousandths.
+	onePart = 1000
+)
+
 // score is lower for the better node: the tightest fit, few defects, and a rack that
 // nobody leaves. The runner that the task avoids comes last.
-func (n *node) score(demand job.Demand, avoid identifier.Runner) int64 {
+func (n *node) score(demand job.Demand, avoid identifier.Runner, tightFitDivisor int64) int64 {
 	left := n.free.Minus(demand)
-	score := left.Share(n.runner.Capacity)/1000 + 2*defectRate(n.runner)
+	score := left.Share(n.runner.Capacity)/1000/tightFitDivisor + 2*defectRate(n.runner)
 	if n.rackLeaving {
 		score += rackLeavingPenalty
 	}
@@ -144,16 +155,14 @@
 	return score
 }
 
-// SlowWorkRate is the work rate below which a runner is slow, in thousandths of the nominal
-// one.
-const SlowWorkRate = 400
-
-// slowness is what the node's work rate adds to its score.
-func (n *node) slowness() int64 {
-	if n.workRate < SlowWorkRate {
-		return slowPenalty
+// expectedRun is how long a task of the step runs on the node, in thousandths of its run near
+// its data on a node of the nominal rate.
+func (c *cycle) expectedRun(step *job.Step, n *node) int64 {
+	run := int64(onePart*prediction.NominalRate) / max(n.workRate, minWorkRate)
+	if step.PreferredRack != "" && step.PreferredRack != n.runner.Rack {
+		run = run * c.view.DistantFactor / onePart
 	}
-	return max(0, prediction.NominalRate-n.workRate)
+	return run
 }
 
 // bestNode finds the node with the best score for one task, nil when none fits.
@@ -164,7 +173,7 @@
 		if !n.fits(step) {
 			continue
 		}
-		if score := n.score(step.Demand, avoid); best == nil || score < bestScore {
+		if score := n.score(step.Demand, avoid, rowTightFitDivisor); best == nil || score < bestScore {
 			best = n
 			bestScore = score
 		}
--- a/internal/scheduler/policy_scoring.go
+++ b/internal/scheduler/policy_scoring.go
@@ -96,7 +96,7 @@
 		scored := &scoredNode{
 			node:    n,
 			score:   score,
-			builtin: n.score(step.Demand, task.AvoidRunner),
+			builtin: n.score(step.Demand, task.AvoidRunner, rowTightFitDivisor),
 			avoided: n.runner.Name == task.AvoidRunner,
 		}
 		if best == nil || scored.betterThan(best) {
--- a/internal/scheduler/queues.go
+++ b/internal/scheduler/queues.go
@@ -181,10 +181,7 @@
 		if step.MaxPerRunner > 0 && c.tasksOn(u, n)+pending.tasks[n] >= step.MaxPerRunner {
 			continue
 		}
-		score := n.score(step.Demand, task.AvoidRunner) + n.slowness()
-		if step.PreferredRack != "" && step.PreferredRack != n.runner.Rack {
-			score += otherRackPenalty
-		}
+		score := n.score(step.Demand, task.AvoidRunner, queueTightFitDivisor) + c.expectedRun(step, n)
 		if best == nil || score < bestScore {
 			best = n
 			bestScore = score
--- a/internal/scheduler/queues_test.go
+++ b/internal/scheduler/queues_test.go
@@ -66,7 +66,8 @@
 	store := newQueueStore(t, 3)
 	submitToQueue(t, store, "j", "q0", 10, job.Step{Tasks: 3, Demand: job.Demand{MilliCores: 4000, Mem: 1}})
 	view := RunnerView{
-		Schedulable: func(name identifier.Runner) bool { return name != "r01" },
+		DistantFactor: 2000,
+		Schedulable:   func(name identifier.Runner) bool { return name != "r01" },
 		WorkRate: func(name identifier.Runner) int64 {
 			if name == "r00" {
 				return 200
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -39,11 +39,15 @@
 	Schedulable func(r identifier.Runner) bool
 	// WorkRate is how fast tasks run there, in thousandths of the nominal rate.
 	WorkRate func(r identifier.Runner) int64
+	// DistantFactor is how many times as long tasks run away from their data, in
+	// thousandths.
+	DistantFactor int64
 }
 
 // cycle is one scheduling cycle.
 type cycle struct {
 	store    *state.Store
+	view     RunnerView
 	capacity job.Demand
 	// nodes are the runners that belong to no pool, pools those of each pool of the
 	// catalogue.
@@ -88,6 +92,7 @@
 	}
 	c := &cycle{
 		store:        store,
+		view:         view,
 		capacity:     store.TotalCapacity(),
 		nodes:        nodes,
 		pools:        pools,
--- a/tests/ablation/edits.go
+++ b/tests/ablation/edits.go
@@ -21,8 +21,8 @@
 	}},
 	"no-tight-fit": {{
 		File:        "internal/scheduler/node.go",
-		Original:    "	score := left.Share(n.runner.Capacity)/1000 + 2*defectRate(n.runner)\n",
-		Replacement: "	score := -left.Share(n.runner.Capacity)/1000 + 2*defectRate(n.runner)\n",
+		Original:    "	score := left.Share(n.runner.Capacity)/1000/tightFitDivisor + 2*",
+		Replacement: "	score := -left.Share(n.runner.Capacity)/1000/tightFitDivisor + 2*",
 	}},
 	"no-avoid": {{
 		File:        "internal/scheduler/node.go",
@@ -41,13 +41,23 @@
 	}},
 	"no-work-rate": {{
 		File:        "internal/scheduler/node.go",
-		Original:    "	if n.workRate < SlowWorkRate {\n",
-		Replacement: "	if n.workRate < SlowWorkRate*0 {\n",
+		Original:    " / max(n.workRate, minWorkRate)\n",
+		Replacement: " / max(prediction.NominalRate, minWorkRate)\n",
+	}},
+	"no-near-data": {{
+		File:        "internal/scheduler/node.go",
+		Original:    "		run = run * c.view.DistantFactor / onePart\n",
+		Replacement: "		run += 0 * c.view.DistantFactor\n",
+	}},
+	"no-defect-rate": {{
+		File:        "internal/scheduler/node.go",
+		Original:    "/1000/tightFitDivisor + 2*defectRate(n.runner)\n",
+		Replacement: "/1000/tightFitDivisor + 0*defectRate(n.runner)\n",
 	}},
 	"no-slow-move": {{
 		File:        "internal/controlplane/runner_health.go",
-		Original:    "	if workRate >= scheduler.SlowWorkRate ||",
-		Replacement: "	if workRate >= 0*scheduler.SlowWorkRate ||",
+		Original:    "	if workRate >= slowWorkRate ||",
+		Replacement: "	if workRate >= 0*slowWorkRate ||",
 	}},
 	"no-stall-revocation": {{
 		File:        "internal/controlplane/runner_health.go",
