--- a/internal/controlplane/leader.go
+++ b/internal/controlplane/leader.go
@@ -67,7 +67,7 @@
 		lossProposal:    map[identifier.Runner]identifier.Index{},
 		leases:          newLeaseConfirmations(),
 		drains:          newDrainProgress(),
-		cycle:           schedulingCycle{needed: true, lastAt: -clock.Monotonic(schedulingInterval)},
+		cycle:           newSchedulingCycle(),
 		durations:       prediction.NewDurations(),
 		jobTimes:        newJobTimes(s.now),
 		maxVotersLiveAt: s.now,
--- a/internal/controlplane/run_progress.go
+++ b/internal/controlplane/run_progress.go
@@ -112,6 +112,33 @@
 	return run, deviation
 }
 
+const (
+	// leastRemaining is what a run is expected to go on at least.
+	leastRemaining clock.Millis = 20
+	// overdueDivisor is the part of its predicted run that an attempt past it is expected
+	// to go on.
+	overdueDivisor = 4
+)
+
+// remaining is how long an attempt is expected to go on; not ok for services, which do not
+// end by themselves.
+func (s *Server) remaining(lease *state.Lease) (remaining clock.Millis, ok bool) {
+	j := s.state.Jobs[lease.Task.Job]
+	if j.Terms == nil || j.Spec.Steps[lease.Task.Step].Service {
+		return 0, false
+	}
+	contact := s.leader.runners[lease.Runner]
+	if contact != nil && contact.agent != nil {
+		if run := contact.agent.runs[lease.ID]; run != nil && run.progress != nil && run.progress.rate > 0 {
+			return max(run.progress.remaining()-s.now.Since(contact.lastHeard), leastRemaining), true
+		}
+	}
+	run, _ := s.predictedRun(lease)
+	run = run * prediction.NominalRate / clock.Millis(s.workRate(lease.Runner))
+	left := run - s.state.Now.Since(lease.OpenedAt)
+	return max(left, run/overdueDivisor, leastRemaining), true
+}
+
 // distant reports whether an attempt runs away from its data.
 func (s *Server) distant(lease *state.Lease) bool {
 	preferred := s.state.Jobs[lease.Task.Job].Spec.Steps[lease.Task.Step].PreferredRack
--- a/internal/controlplane/scheduling.go
+++ b/internal/controlplane/scheduling.go
@@ -7,8 +7,12 @@
 	"orchidward/internal/state"
 )
 
-// schedulingInterval is the least time between two scheduling cycles.
-const schedulingInterval clock.Millis = 20
+const (
+	// schedulingInterval is the least time between two scheduling cycles.
+	schedulingInterval clock.Millis = 20
+	// deferralInterval is the time after which deferred tasks are looked at again.
+	deferralInterval clock.Millis = 100
+)
 
 // schedulingCycle says when the leader plans placements next.
 type schedulingCycle struct {
@@ -17,17 +21,37 @@
 	lastAt clock.Monotonic
 	// proposal is the index of the last plan's entry. One plan is under way at a time.
 	proposal identifier.Index
+	// deferred are the tasks that wait for a better runner. They are looked at again when
+	// nothing changes, too.
+	deferred *scheduler.DeferredTasks
+}
+
+func newSchedulingCycle() schedulingCycle {
+	return schedulingCycle{
+		needed:   true,
+		lastAt:   -clock.Monotonic(schedulingInterval),
+		deferred: scheduler.NewDeferredTasks(),
+	}
+}
+
+// due reports whether a cycle is to be run.
+func (c *schedulingCycle) due(now clock.Monotonic) bool {
+	if !c.needed && !(c.deferred.Any() && now.Since(c.lastAt) >= deferralInterval) {
+		return false
+	}
+	return now.Since(c.lastAt) >= schedulingInterval
 }
 
 // schedule runs one scheduling cycle when it is time to, and proposes its plan.
 func (s *Server) schedule() {
 	cycle := &s.leader.cycle
-	if !cycle.needed || cycle.proposal > s.appliedIndex || s.now.Since(cycle.lastAt) < schedulingInterval {
+	if cycle.proposal > s.appliedIndex || !cycle.due(s.now) {
 		return
 	}
 	cycle.needed = false
 	cycle.lastAt = s.now
 	plan := scheduler.Schedule(s.state, s.runnerView(), s.policyCache)
+	cycle.deferred.Update(plan.Deferred, s.now)
 	s.waitReasons = plan.Reasons
 	s.recordPolicyResults(plan.Policies)
 	if len(plan.Preemptions) > 0 {
@@ -45,6 +69,14 @@
 		Schedulable:   s.schedulable(),
 		WorkRate:      s.workRate,
 		DistantFactor: int64(s.leader.durations.DistantFactor() * 1000),
+		Predict: func(queue string, estimate clock.Millis) clock.Millis {
+			run, _ := s.leader.durations.Predict(queue, estimate)
+			return run
+		},
+		Remaining: s.remaining,
+		DeferredFor: func(ref identifier.TaskRef) clock.Millis {
+			return s.leader.cycle.deferred.For(ref, s.now)
+		},
 	}
 }
 
--- /dev/null
+++ b/internal/scheduler/deferral_test.go
@@ -0,0 +1,91 @@
+package scheduler
+
+import (
+	"testing"
+
+	"orchidward/internal/api/identifier"
+	"orchidward/internal/api/job"
+	"orchidward/internal/clock"
+	"orchidward/internal/prediction"
+	"orchidward/internal/scheduler/policy"
+	"orchidward/internal/state"
+)
+
+// deferralView is a view in which all runners are alike, runs go on for remaining and tasks
+// have been deferred for deferredFor.
+func deferralView(remaining, deferredFor clock.Millis) RunnerView {
+	view := newView(
+		func(identifier.Runner) bool { return true },
+		func(identifier.Runner) int64 { return prediction.NominalRate },
+	)
+	view.Remaining = func(*state.Lease) (clock.Millis, bool) { return remaining, true }
+	view.DeferredFor = func(identifier.TaskRef) clock.Millis { return deferredFor }
+	return view
+}
+
+// TestWaitForNearRunner: a task whose preferred rack is full waits for it as long as that is
+// expected to be sooner than running elsewhere, but never longer than the detour costs; no
+// more tasks wait than will find room there.
+func TestWaitForNearRunner(t *testing.T) {
+	for _, c := range []struct {
+		name                   string
+		remaining, deferredFor clock.Millis
+		tasks                  int64
+		wantPlaced             int
+	}{
+		{"room soon", 300, 0, 1, 0},
+		{"room too late", 1200, 0, 1, 1},
+		{"waited too long", 300, 1000, 1, 1},
+		{"more tasks than room", 300, 0, 5, 2},
+		{"room at once elsewhere is as good", 970, 0, 1, 1},
+	} {
+		store := newQueueStore(t, 6)
+		full := job.Step{Tasks: 3, PreferredRack: "k1", Demand: job.Demand{MilliCores: 8000, Mem: 1}}
+		submitToQueue(t, store, "full", "q0", 10, full)
+		scheduleAndPlace(t, store)
+		step := job.Step{Tasks: c.tasks, PreferredRack: "k1", Demand: job.Demand{MilliCores: 8000, Mem: 1}, ExpectedRun: 1000}
+		submitToQueue(t, store, "j", "q0", 20, step)
+		plan := Schedule(store, deferralView(c.remaining, c.deferredFor), policy.NewCache())
+		if len(plan.Placements) != c.wantPlaced || len(plan.Deferred)+c.wantPlaced != int(c.tasks) {
+			t.Errorf("%s: %d placed, %d deferred, want %d placed", c.name, len(plan.Placements), len(plan.Deferred), c.wantPlaced)
+		}
+	}
+}
+
+// TestServicesAreNotDeferred: tasks that go on until they are cancelled, and gangs, are
+// placed where they can be.
+func TestServicesAreNotDeferred(t *testing.T) {
+	for _, step := range []job.Step{
+		{Tasks: 1, Service: true},
+		{Tasks: 2, Gang: true},
+	} {
+		store := newQueueStore(t, 6)
+		demand := job.Demand{MilliCores: 8000, Mem: 1}
+		submitToQueue(t, store, "full", "q0", 10, job.Step{Tasks: 3, PreferredRack: "k1", Demand: demand})
+		scheduleAndPlace(t, store)
+		step.PreferredRack = "k1"
+		step.Demand = demand
+		submitToQueue(t, store, "j", "q0", 20, step)
+		plan := Schedule(store, deferralView(300, 0), policy.NewCache())
+		if len(plan.Placements) != 1 || len(plan.Deferred) != 0 {
+			t.Errorf("%+v: %d placed, %d deferred", step, len(plan.Placements), len(plan.Deferred))
+		}
+	}
+}
+
+// TestDeferredTasks: a task counts as deferred since the first of the cycles that did so
+// without a long break, and is forgotten after one.
+func TestDeferredTasks(t *testing.T) {
+	deferred := NewDeferredTasks()
+	ref := identifier.TaskRef{Job: "q/j"}
+	deferred.Update([]identifier.TaskRef{ref}, 1000)
+	deferred.Update(nil, 1500)
+	deferred.Update([]identifier.TaskRef{ref}, 1900)
+	if span := deferred.For(ref, 2000); span != 1000 {
+		t.Errorf("deferred for %d ms, want 1000", span)
+	}
+	deferred.Update(nil, 3000)
+	if deferred.Any() || deferred.For(ref, 3000) != 0 {
+		t.Error("still deferred, 1.1 s after the last cycle that did so")
+	}
+}
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -117,7 +117,19 @@
 // scheduleOn runs a cycle in which all runners work at the nominal rate.
 func scheduleOn(store *state.Store, fresh func(r identifier.Runner) bool) Plan {
 	workRate := func(identifier.Runner) int64 { return prediction.NominalRate }
-	return Schedule(store, RunnerView{Schedulable: fresh, WorkRate: workRate, DistantFactor: 2000}, policy.NewCache())
+	return Schedule(store, newView(fresh, workRate), policy.NewCache())
+}
+
+// newView is a view in which nothing is known of when runs end.
+func newView(fresh func(r identifier.Runner) bool, workRate func(r identifier.Runner) int64) RunnerView {
+	return RunnerView{
+		Schedulable:   fresh,
+		WorkRate:      workRate,
+		DistantFactor: 2000,
+		Predict:       func(_ string, estimate clock.Millis) clock.Millis { return estimate },
+		Remaining:     func(*state.Lease) (clock.Millis, bool) { return 0, false },
+		DeferredFor:   func(identifier.TaskRef) clock.Millis { return 0 },
+	}
 }
 
 // scheduleAndPlace runs a cycle and applies its placements.
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -21,6 +21,8 @@
 	rackLeaving bool
 	// workRate is how fast tasks run there, in thousandths of the nominal rate. It is known for the nodes of pools only.
 	workRate int64
+	// future is what will become free, nil until it is looked up.
+	future *futureRoom
 }
 
 // unreserved is what units without a reservation may use.
--- a/internal/scheduler/queues.go
+++ b/internal/scheduler/queues.go
@@ -70,6 +70,10 @@
 		c.plan.Reasons.add(u, reason)
 		return placementResult{newShape: true}
 	}
+	if len(nodes) == 1 && c.shouldDefer(u, nodes[0]) {
+		c.plan.Reasons.add(u, reasonDeferred)
+		return placementResult{deferred: true}
+	}
 	for _, n := range nodes {
 		n.free = n.free.Minus(u.spec().Demand)
 	}
--- a/internal/scheduler/queues_test.go
+++ b/internal/scheduler/queues_test.go
@@ -65,16 +65,15 @@
 func TestSlowRunnerComesLast(t *testing.T) {
 	store := newQueueStore(t, 3)
 	submitToQueue(t, store, "j", "q0", 10, job.Step{Tasks: 3, Demand: job.Demand{MilliCores: 4000, Mem: 1}})
-	view := RunnerView{
-		DistantFactor: 2000,
-		Schedulable:   func(name identifier.Runner) bool { return name != "r01" },
-		WorkRate: func(name identifier.Runner) int64 {
+	view := newView(
+		func(name identifier.Runner) bool { return name != "r01" },
+		func(name identifier.Runner) int64 {
 			if name == "r00" {
 				return 200
 			}
 			return prediction.NominalRate
 		},
-	}
+	)
 	tasks := map[identifier.Runner]int{}
 	for _, placement := range Schedule(store, view, policy.NewCache()).Placements {
 		tasks[placement.Runners[0]]++
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"orchidward/internal/api/identifier"
 	"orchidward/internal/api/job"
+	"orchidward/internal/clock"
 	"orchidward/internal/scheduler/policy"
 	"orchidward/internal/state"
 )
@@ -25,6 +26,8 @@
 	Preemptions []identifier.LeaseID
 	// Reasons tells why the steps that the cycle looked at still wait.
 	Reasons Reasons
+	// Deferred are the tasks that could be placed, and wait for a better node.
+	Deferred []identifier.TaskRef
 	// Policies tells how the placement policies of the rows did.
 	Policies PolicyResults
 }
@@ -42,6 +45,14 @@
 	// DistantFactor is how many times as long tasks run away from their data, in
 	// thousandths.
 	DistantFactor int64
+	// Predict is how long a task of a queue runs near its data on a runner of the nominal
+	// rate, by its estimate.
+	Predict func(queue string, estimate clock.Millis) clock.Millis
+	// Remaining is how long the run of a lease is expected to go on; it is not ok where
+	// that is not known.
+	Remaining func(lease *state.Lease) (remaining clock.Millis, ok bool)
+	// DeferredFor is how long a task has been deferred.
+	DeferredFor func(ref identifier.TaskRef) clock.Millis
 }
 
 // cycle is one scheduling cycle.
--- a/internal/scheduler/unit.go
+++ b/internal/scheduler/unit.go
@@ -37,10 +37,16 @@
 	// newShape is false when every unit that was not placed has a shape that was
 	// already known not to fit.
 	newShape bool
+	// deferred says that a unit fits, and waits for a better node.
+	deferred bool
 }
 
 func (r placementResult) or(other placementResult) placementResult {
-	return placementResult{placed: r.placed || other.placed, newShape: r.newShape || other.newShape}
+	return placementResult{
+		placed:   r.placed || other.placed,
+		newShape: r.newShape || other.newShape,
+		deferred: r.deferred || other.deferred,
+	}
 }
 
 // tryJob tries to place every ready step of a job, unit by unit.
@@ -58,7 +64,7 @@
 		for _, num := range waiting {
 			one := tryUnit(unit{job: j, step: step, taskNumbers: []int{num}})
 			total = total.or(one)
-			if !one.placed || c.full() {
+			if !one.placed && !one.deferred || c.full() {
 				break
 			}
 		}
