--- a/internal/controlplane/scheduling.go
+++ b/internal/controlplane/scheduling.go
@@ -24,6 +24,8 @@
 	// deferred are the tasks that wait for a better runner. They are looked at again when
 	// nothing changes, too.
 	deferred *scheduler.DeferredTasks
+	// usage is what the pools lately had in use.
+	usage *scheduler.UsageHistory
 }
 
 func newSchedulingCycle() schedulingCycle {
@@ -31,6 +33,7 @@
 		needed:   true,
 		lastAt:   -clock.Monotonic(schedulingInterval),
 		deferred: scheduler.NewDeferredTasks(),
+		usage:    scheduler.NewUsageHistory(),
 	}
 }
 
@@ -50,6 +53,7 @@
 	}
 	cycle.needed = false
 	cycle.lastAt = s.now
+	cycle.usage.Update(s.state, s.now)
 	plan := scheduler.Schedule(s.state, s.runnerView(), s.policyCache)
 	cycle.deferred.Update(plan.Deferred, s.now)
 	s.waitReasons = plan.Reasons
@@ -65,6 +69,7 @@
 
 // runnerView is what the scheduler is told of the runners beyond the state.
 func (s *Server) runnerView() scheduler.RunnerView {
+	cycle := &s.leader.cycle
 	return scheduler.RunnerView{
 		Schedulable:   s.schedulable(),
 		WorkRate:      s.workRate,
@@ -73,9 +78,10 @@
 			run, _ := s.leader.durations.Predict(queue, estimate)
 			return run
 		},
+		Usage:     cycle.usage,
 		Remaining: s.remaining,
 		DeferredFor: func(ref identifier.TaskRef) clock.Millis {
-			return s.leader.cycle.deferred.For(ref, s.now)
+			return cycle.deferred.For(ref, s.now)
 		},
 	}
 }
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -129,6 +129,7 @@
 		Predict:       func(_ string, estimate clock.Millis) clock.Millis { return estimate },
 		Remaining:     func(*state.Lease) (clock.Millis, bool) { return 0, false },
 		DeferredFor:   func(identifier.TaskRef) clock.Millis { return 0 },
+		Usage:         NewUsageHistory(),
 	}
 }
 
--- /dev/null
+++ b/internal/scheduler/headroom_test.go
@@ -0,0 +1,69 @@
+package scheduler
+
+import (
+	"testing"
+
+	"orchidward/internal/api/identifier"
+	"orchidward/internal/api/job"
+	"orchidward/internal/prediction"
+	"orchidward/internal/scheduler/policy"
+	"orchidward/internal/state"
+)
+
+// TestHeadroomForUrgentWork: in a pool that is mostly in use, work of a lower priority leaves
+// free what urgent work lately had in use, until that has faded; urgent work takes it.
+func TestHeadroomForUrgentWork(t *testing.T) {
+	store := newQueueStore(t, 5)
+	history := NewUsageHistory()
+	view := newView(
+		func(identifier.Runner) bool { return true },
+		func(identifier.Runner) int64 { return prediction.NominalRate },
+	)
+	view.Usage = history
+	step := func(tasks int64) job.Step {
+		return job.Step{Tasks: tasks, Demand: job.Demand{MilliCores: 2000, Mem: 1}}
+	}
+	submitToQueue(t, store, "urgent", "q0", 10, step(4))
+	scheduleAndPlace(t, store)
+	history.Update(store, 1000)
+	endLeases(t, store, state.OutcomeSuccess, keepNone)
+
+	submitToQueue(t, store, "wide", "q2", 20, step(30))
+	history.Update(store, 1001)
+	plan := Schedule(store, view, policy.NewCache())
+	if len(plan.Placements) != 16 {
+		t.Fatalf("%d tasks of a low priority are placed, want 16 of 20 with 4 left free", len(plan.Placements))
+	}
+	place(t, store, plan.Placements...)
+	submitToQueue(t, store, "urgent2", "q0", 30, step(4))
+	history.Update(store, 1002)
+	plan = Schedule(store, view, policy.NewCache())
+	if len(plan.Placements) != 4 || plan.Placements[0].Job != "q/urgent2" {
+		t.Fatalf("urgent work is not placed at once: %+v", plan.Placements)
+	}
+	history.Update(store, 60_000)
+	if plan = Schedule(store, view, policy.NewCache()); len(plan.Placements) != 4 {
+		t.Errorf("a minute later %d tasks are placed, want 4", len(plan.Placements))
+	}
+}
+
+// TestHeadroomNeedsPressure: in a pool with much free room nothing is held back, however much
+// urgent work there lately was: a job that could run must not wait.
+func TestHeadroomNeedsPressure(t *testing.T) {
+	store := newQueueStore(t, 5)
+	history := NewUsageHistory()
+	submitToQueue(t, store, "urgent", "q0", 10, job.Step{Tasks: 5, Demand: job.Demand{MilliCores: 8000, Mem: 1}})
+	scheduleAndPlace(t, store)
+	history.Update(store, 1000)
+	endLeases(t, store, state.OutcomeSuccess, keepNone)
+	history.Update(store, 1001)
+	submitToQueue(t, store, "low", "q2", 20, job.Step{Tasks: 3, Demand: job.Demand{MilliCores: 8000, Mem: 1}})
+	view := newView(
+		func(identifier.Runner) bool { return true },
+		func(identifier.Runner) int64 { return prediction.NominalRate },
+	)
+	view.Usage = history
+	if plan := Schedule(store, view, policy.NewCache()); len(plan.Placements) != 3 {
+		t.Errorf("%d tasks are placed in an empty pool, want 3", len(plan.Placements))
+	}
+}
--- a/internal/scheduler/queues.go
+++ b/internal/scheduler/queues.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 
 	"orchidward/internal/api/identifier"
 	"orchidward/internal/api/job"
@@ -63,6 +64,12 @@
 		c.plan.Reasons.add(u, reason)
 		return placementResult{}
 	}
+	room := c.rooms[u.job.Terms.Pool]
+	if room != nil && !room.leavesHeadroom(u) {
+		c.unplaceable[shape] = reasonHeadroom
+		c.plan.Reasons.add(u, reasonHeadroom)
+		return placementResult{newShape: true}
+	}
 	nodes := c.findQueueNodes(u)
 	if nodes == nil {
 		reason := c.reserveForQueue(u)
@@ -77,6 +84,7 @@
 	for _, n := range nodes {
 		n.free = n.free.Minus(u.spec().Demand)
 	}
+	room.take(u)
 	c.place(u, nodes)
 	return placementResult{placed: true, newShape: true}
 }
@@ -84,7 +92,7 @@
 func queueShape(u unit) unitShape {
 	step := u.spec()
 	shape := unitShape{demand: step.Demand, count: len(u.taskNumbers)}
-	shape.constraints = u.job.Terms.Pool + "/" + string(step.PreferredRack)
+	shape.constraints = u.job.Terms.Pool + "/" + strconv.FormatInt(u.job.Terms.Priority, 10) + "/" + string(step.PreferredRack)
 	for _, label := range step.Labels {
 		shape.constraints += " " + string(label)
 	}
--- a/internal/scheduler/reasons.go
+++ b/internal/scheduler/reasons.go
@@ -18,6 +18,7 @@
 	reasonTooLarge         = "larger than the runners in reach could hold"
 	reasonWaits            = "waits for room"
 	reasonWaitsReserved    = "waits for room, which is being kept for it"
+	reasonHeadroom         = "waits for room beyond what more urgent work has lately needed"
 	reasonDeferred         = "will be done sooner by waiting for a better runner"
 )
 
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -53,6 +53,8 @@
 	Remaining func(lease *state.Lease) (remaining clock.Millis, ok bool)
 	// DeferredFor is how long a task has been deferred.
 	DeferredFor func(ref identifier.TaskRef) clock.Millis
+	// Usage is what each pool lately had in use.
+	Usage *UsageHistory
 }
 
 // cycle is one scheduling cycle.
@@ -64,6 +66,8 @@
 	// catalogue.
 	nodes []*node
 	pools map[string][]*node
+	// rooms has the resources of each pool in all.
+	rooms map[string]*poolRoom
 	// rowUse is the demand of each row's open leases and placements so far.
 	rowUse map[identifier.Row]job.Demand
 	// rowReserved and poolReserved tell where resources are reserved already.
@@ -107,6 +111,7 @@
 		capacity:     store.TotalCapacity(),
 		nodes:        nodes,
 		pools:        pools,
+		rooms:        newPoolRooms(pools, view.Usage),
 		rowUse:       map[identifier.Row]job.Demand{},
 		poolReserved: map[string]bool{},
 		placed:       map[identifier.TaskRef]bool{},
