--- a/internal/api/job/spec.go
+++ b/internal/api/job/spec.go
@@ -58,22 +58,27 @@
 func (s *Spec) HasStartTime() bool { return s.NotBefore > 0 || s.Delay > 0 || s.Repeat != nil }
 
 // CriticalPath is the expected duration, in milliseconds, of the longest chain of steps.
-func (s *Spec) CriticalPath() clock.Millis {
-	return s.CriticalPathWithout(func(int) bool { return false })
+func (s *Spec) CriticalPath() clock.Millis { return s.CriticalPathBy(expectedRun) }
+
+// CriticalPathBy is the critical path when a step takes as long as run says, in milliseconds.
+func (s *Spec) CriticalPathBy(run func(step *Step) clock.Millis) clock.Millis {
+	return s.CriticalPathWithout(func(int) bool { return false }, run)
 }
 
+func expectedRun(step *Step) clock.Millis { return step.ExpectedRun }
+
 // CriticalPathWithout is the critical path when the steps for which done returns true take
-// no time.
-func (s *Spec) CriticalPathWithout(done func(step int) bool) clock.Millis {
+// no time, and the others as long as run says.
+func (s *Spec) CriticalPathWithout(done func(step int) bool, run func(step *Step) clock.Millis) clock.Millis {
 	var longest clock.Millis
 	// Steps come in any order, so one pass for each of them settles every chain.
 	chains := make([]clock.Millis, len(s.Steps))
 	for range s.Steps {
-		for i, step := range s.Steps {
+		for i := range s.Steps {
 			if done(i) {
 				continue
 			}
-			chains[i] = s.longestChain(chains, step.After) + step.ExpectedRun
+			chains[i] = s.longestChain(chains, s.Steps[i].After) + run(&s.Steps[i])
 			longest = max(longest, chains[i])
 		}
 	}
--- a/internal/controlplane/scheduling.go
+++ b/internal/controlplane/scheduling.go
@@ -74,9 +74,9 @@
 		Schedulable:   s.schedulable(),
 		WorkRate:      s.workRate,
 		DistantFactor: int64(s.leader.durations.DistantFactor() * 1000),
-		Predict: func(queue string, estimate clock.Millis) clock.Millis {
-			run, _ := s.leader.durations.Predict(queue, estimate)
-			return run
+		Predict: func(queue string, estimate clock.Millis) scheduler.PredictedRun {
+			run, deviation := s.leader.durations.Predict(queue, estimate)
+			return scheduler.PredictedRun{Run: run, Deviation: deviation}
 		},
 		Usage:     cycle.usage,
 		Remaining: s.remaining,
--- a/internal/scheduler/deferral.go
+++ b/internal/scheduler/deferral.go
@@ -90,7 +90,7 @@
 	if step.Service || step.Gang || step.MaxPerRunner > 0 || len(c.plan.Deferred) >= maxDeferrals {
 		return false
 	}
-	run := c.view.Predict(u.job.Terms.Queue, step.ExpectedRun)
+	run := c.view.Predict(u.job.Terms.Queue, step.ExpectedRun).Run
 	here := c.expectedRun(step, now)
 	var best *deferral
 	for _, n := range c.pools[u.job.Terms.Pool] {
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -126,7 +126,7 @@
 		Schedulable:   fresh,
 		WorkRate:      workRate,
 		DistantFactor: 2000,
-		Predict:       func(_ string, estimate clock.Millis) clock.Millis { return estimate },
+		Predict:       func(_ string, estimate clock.Millis) PredictedRun { return PredictedRun{Run: estimate} },
 		Remaining:     func(*state.Lease) (clock.Millis, bool) { return 0, false },
 		DeferredFor:   func(identifier.TaskRef) clock.Millis { return 0 },
 		Usage:         NewUsageHistory(),
--- /dev/null
+++ b/internal/scheduler/job_order.go
@@ -0,0 +1,129 @@
+package scheduler
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"orchidward/internal/api/catalog"
+	"orchidward/internal/api/job"
+	"orchidward/internal/clock"
+	"orchidward/internal/state"
+)
+
+// timeliness tells what a queue's job is still worth if it goes on now.
+type timeliness int
+
+const (
+	// onTime jobs can still be done by when they are due.
+	onTime timeliness = iota
+	// late jobs are worth less.
+	late
+	// tooLate jobs are worth nothing any more.
+	tooLate
+)
+
+const (
+	// lateFactor is how many times its target a job may take and still be worth something.
+	lateFactor = 3
+	// latencyFactorUnit is the latency factor of 1: factors are in thousandths.
+	latencyFactorUnit = 1000
+	// maxOrderedJobs bounds the jobs that one cycle puts in order.
+	maxOrderedJobs = 2000
+)
+
+// rankedJob is a queue's job with what its place in the order depends on.
+type rankedJob struct {
+	job        *state.Job
+	timeliness timeliness
+	dueAt      clock.ClusterTime
+}
+
+// compareRanked puts jobs on time first, then the late ones, then those that are too late; of
+// each by priority, and then by when they are due.
+func compareRanked(a, b rankedJob) int {
+	return cmp.Or(
+		cmp.Compare(a.timeliness, b.timeliness),
+		cmp.Compare(a.job.Terms.Priority, b.job.Terms.Priority),
+		cmp.Compare(a.dueAt, b.dueAt),
+		cmp.Compare(a.job.Seq, b.job.Seq),
+	)
+}
+
+// scheduleQueues places the jobs of queues in their order.
+func (c *cycle) scheduleQueues() {
+	misses := map[timeliness]int{}
+	seen := map[timeliness]int{}
+	for _, ranked := range c.rankJobs() {
+		class := ranked.timeliness
+		if misses[class] > maxMisses || seen[class] > maxJobsSeen {
+			continue
+		}
+		if result := c.tryJob(ranked.job, c.tryQueueUnit); !result.placed && result.newShape {
+			misses[class]++
+		}
+		seen[class]++
+		if c.full() {
+			return
+		}
+	}
+}
+
+// rankJobs lists the jobs of queues that have something to place, in their order.
+func (c *cycle) rankJobs() []rankedJob {
+	var ranked []rankedJob
+	c.store.EachQueueJob(func(j *state.Job) bool {
+		ranked = append(ranked, c.rankJob(j))
+		return len(ranked) < maxOrderedJobs
+	})
+	slices.SortFunc(ranked, compareRanked)
+	return ranked
+}
+
+// rankJob tells when a job is due and whether it will be on time, by how long its steps are
+// predicted to run rather than by their estimates.
+func (c *cycle) rankJob(j *state.Job) rankedJob {
+	target := j.Terms.Target
+	remaining := j.RemainingCriticalPath()
+	if queue := c.queue(j.Terms.Queue); queue != nil {
+		predict := func(step *job.Step) clock.Millis { return c.predictStep(j.Terms.Queue, step) }
+		target = j.Spec.CriticalPathBy(predict)*clock.Millis(queue.LatencyFactor)/latencyFactorUnit + queue.LatencyTarget
+		remaining = j.RemainingCriticalPathBy(predict)
+	}
+	ranked := rankedJob{job: j, timeliness: tooLate, dueAt: j.Terms.DueAt.Add(target - j.Terms.Target)}
+	end := c.store.Now.Add(remaining)
+	switch {
+	case end <= ranked.dueAt:
+		ranked.timeliness = onTime
+	case end <= ranked.dueAt.Add((lateFactor-1)*target):
+		ranked.timeliness = late
+	}
+	return ranked
+}
+
+// queue looks a queue of the catalogue up, once in a cycle; nil for one that is no more.
+func (c *cycle) queue(name string) *catalog.Queue {
+	queue, known := c.queues[name]
+	if !known {
+		queue = c.store.Catalog.Queue(name)
+		c.queues[name] = queue
+	}
+	return queue
+}
+
+// predictStep is how long the longest of a step's tasks is predicted to run.
+func (c *cycle) predictStep(queue string, step *job.Step) clock.Millis {
+	run := c.view.Predict(queue, step.ExpectedRun)
+	return clock.Millis(float64(run.Run) * math.Exp(run.Deviation*longestOf(step.Tasks)))
+}
+
+// longestOf is by how many deviations the longest of many runs exceeds the usual one, in
+// logarithms (Cramer, Mathematical Methods of Statistics, 28.6: the mean of the extreme of a
+// normal sample, to first order).
+func longestOf(count int64) float64 {
+	if count < 2 {
+		return 0
+	}
+	scale := math.Sqrt(2 * math.Log(float64(count)))
+	return max(0, scale-(math.Log(math.Log(float64(count)))+math.Log(4*math.Pi))/(2*scale))
+}
--- a/internal/scheduler/queues.go
+++ b/internal/scheduler/queues.go
@@ -7,56 +7,10 @@
 
 	"orchidward/internal/api/identifier"
 	"orchidward/internal/api/job"
-	"orchidward/internal/clock"
 	"orchidward/internal/scheduler/feasibility"
 	"orchidward/internal/state"
 )
 
-// timeliness tells what a queue's job is still worth if it goes on now.
-type timeliness int
-
-const (
-	// onTime jobs can still be done by when they are due.
-	onTime timeliness = iota
-	// late jobs are worth less.
-	late
-	// tooLate jobs are worth nothing any more.
-	tooLate
-)
-
-// lateFactor is how many times its target a job may take and still be worth something.
-const lateFactor = 3
-
-func timelinessOf(j *state.Job, now clock.ClusterTime) timeliness {
-	end := now.Add(j.RemainingCriticalPath())
-	switch {
-	case end <= j.Terms.DueAt:
-		return onTime
-	case end <= j.Terms.DueAt.Add((lateFactor-1)*j.Terms.Target):
-		return late
-	}
-	return tooLate
-}
-
-// scheduleQueues places the jobs of queues: those on time first, then the late ones, then
-// those that are too late; of each by priority, and then by when they are due.
-func (c *cycle) scheduleQueues() {
-	for class := onTime; class <= tooLate; class++ {
-		misses := 0
-		seen := 0
-		c.store.EachQueueJob(func(j *state.Job) bool {
-			if timelinessOf(j, c.store.Now) != class {
-				return true
-			}
-			if result := c.tryJob(j, c.tryQueueUnit); !result.placed && result.newShape {
-				misses++
-			}
-			seen++
-			return !c.full() && misses <= maxMisses && seen <= maxJobsSeen
-		})
-	}
-}
-
 // tryQueueUnit tries to place a unit of a queue's job.
 func (c *cycle) tryQueueUnit(u unit) placementResult {
 	shape := queueShape(u)
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"orchidward/internal/api/catalog"
 	"orchidward/internal/api/identifier"
 	"orchidward/internal/api/job"
 	"orchidward/internal/clock"
@@ -36,6 +37,13 @@
 	return Plan{Reasons: Reasons{}, Policies: PolicyResults{}}
 }
 
+// PredictedRun is how long a task is expected to run, and by which deviation, in logarithms,
+// that is usually wrong.
+type PredictedRun struct {
+	Run       clock.Millis
+	Deviation float64
+}
+
 // RunnerView is what a leader knows of runners beyond the state.
 type RunnerView struct {
 	// Schedulable tells whether the runner may be given tasks now.
@@ -47,7 +55,7 @@
 	DistantFactor int64
 	// Predict is how long a task of a queue runs near its data on a runner of the nominal
 	// rate, by its estimate.
-	Predict func(queue string, estimate clock.Millis) clock.Millis
+	Predict func(queue string, estimate clock.Millis) PredictedRun
 	// Remaining is how long the run of a lease is expected to go on; it is not ok where
 	// that is not known.
 	Remaining func(lease *state.Lease) (remaining clock.Millis, ok bool)
@@ -66,6 +74,8 @@
 	// catalogue.
 	nodes []*node
 	pools map[string][]*node
+	// queues are those of the catalogue that were looked up.
+	queues map[string]*catalog.Queue
 	// rooms has the resources of each pool in all.
 	rooms map[string]*poolRoom
 	// rowUse is the demand of each row's open leases and placements so far.
@@ -111,6 +121,7 @@
 		capacity:     store.TotalCapacity(),
 		nodes:        nodes,
 		pools:        pools,
+		queues:       map[string]*catalog.Queue{},
 		rooms:        newPoolRooms(pools, view.Usage),
 		rowUse:       map[identifier.Row]job.Demand{},
 		poolReserved: map[string]bool{},
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -142,10 +142,15 @@
 // RemainingCriticalPath is the expected duration, in milliseconds, of the longest chain
 // of steps that have not succeeded.
 func (j *Job) RemainingCriticalPath() clock.Millis {
+	return j.RemainingCriticalPathBy(func(step *job.Step) clock.Millis { return step.ExpectedRun })
+}
+
+// RemainingCriticalPathBy is the same when a step takes as long as run says.
+func (j *Job) RemainingCriticalPathBy(run func(step *job.Step) clock.Millis) clock.Millis {
 	if len(j.Spec.Steps) == 1 {
-		return j.Spec.Steps[0].ExpectedRun
+		return run(&j.Spec.Steps[0])
 	}
-	return j.Spec.CriticalPathWithout(j.stepSucceeded)
+	return j.Spec.CriticalPathWithout(j.stepSucceeded, run)
 }
 
 // WaitingTasks lists the numbers of the step's waiting tasks.
--- a/tests/ablation/edits.go
+++ b/tests/ablation/edits.go
@@ -5,13 +5,13 @@
 // ablations switch one mechanism off each.
 var ablations = map[string][]sourceedit.Edit{
 	"no-timeliness": {{
-		File:        "internal/scheduler/queues.go",
-		Original:    "	case end <= j.Terms.DueAt:\n		return onTime\n",
-		Replacement: "	case end <= j.Terms.DueAt || j.Terms.Target >= 0:\n		return onTime\n",
+		File:        "internal/scheduler/job_order.go",
+		Original:    "		cmp.Compare(a.timeliness, b.timeliness),\n",
+		Replacement: "",
 	}},
 	"no-priority": {{
-		File:        "internal/state/job_queue.go",
-		Original:    "		cmp.Compare(x.Terms.Priority, y.Terms.Priority),\n",
+		File:        "internal/scheduler/job_order.go",
+		Original:    "		cmp.Compare(a.job.Terms.Priority, b.job.Terms.Priority),\n",
 		Replacement: "",
 	}},
 	"no-reservation": {{
--- a/tests/ablation/main.go
+++ b/tests/ablation/main.go
@@ -29,6 +29,7 @@
 	out      string
 	why      string
 	atOnce   int
+	small    bool
 }
 
 func readOptions() options {
@@ -41,6 +42,7 @@
 	flag.StringVar(&o.out, "out", "", "folder for copies, results and the plot")
 	flag.StringVar(&o.why, "why", "ablation", "reason, for the journal")
 	flag.IntVar(&o.atOnce, "parallel", 1, "versions to play at once, 2 at most")
+	flag.BoolVar(&o.small, "small", false, "play the small twins of large days")
 	flag.Parse()
 	o.days = strings.Split(*days, ",")
 	o.versions = strings.Split(*versions, ",")
--- a/tests/ablation/play.go
+++ b/tests/ablation/play.go
@@ -70,7 +70,7 @@
 
 // playOnce plays a version unless its result is there.
 func playOnce(o options, site siteCopy, version string) ([]dayResult, error) {
-	kept := filepath.Join(o.out, site.name+"-"+fileName(version)+".json")
+	kept := filepath.Join(o.out, resultName(o, site, version))
 	if text, err := os.ReadFile(kept); err == nil {
 		var days []dayResult
 		return days, json.Unmarshal(text, &days)
@@ -86,6 +86,15 @@
 	return entry.Days, os.WriteFile(kept, text, 0o644)
 }
 
+// resultName is the name of the file that a version's days are kept in.
+func resultName(o options, site siteCopy, version string) string {
+	name := site.name + "-" + fileName(version)
+	if o.small {
+		name += "-small"
+	}
+	return name + ".json"
+}
+
 func fileName(version string) string { return strings.NewReplacer("/", "_", "+", "-").Replace(version) }
 
 // play builds a version in a clone of its own and has the bench play the site's days.
@@ -99,7 +108,11 @@
 		return nil, err
 	}
 	why := o.why + ", trial: " + version
-	cmd := exec.Command(o.bench, "score", site.path, "--jobs", benchJobs, "--why", why)
+	arguments := []string{"score", site.path, "--jobs", benchJobs, "--why", why}
+	if o.small {
+		arguments = append(arguments, "--small")
+	}
+	cmd := exec.Command(o.bench, arguments...)
 	cmd.Dir = dir
 	output, runErr := cmd.CombinedOutput()
 	entry, err := takeEntry(dir)
