Left behind: one close for a dialled connection, one rule for who leaves, one list of members a tick

writeDialled closed a connection that its caller closes; compareWithOrders repeated what runnerState.draining says; logTransfers and changeMembership asked for the same list with every tick, and the former made a map each time.

--- a/internal/agent/heartbeats.go
+++ b/internal/agent/heartbeats.go
@@ -52,8 +52,11 @@
 
 // draining reports whether the runner is about to leave: by its last heartbeat, or since it
 // has said farewell.
-func (r *runnerState) draining() bool {
-	return r.heartbeat.Draining || r.unannouncedAt > 0
+func (r *runnerState) draining() bool { return r.leavesBy(r.heartbeat) }
+
+// leavesBy reports the same by a given heartbeat.
+func (r *runnerState) leavesBy(heartbeat *Heartbeat) bool {
+	return heartbeat.Draining || r.unannouncedAt > 0
 }
 
 // departsIn is the least time that a draining runner has left. One that said farewell
@@ -159,8 +162,7 @@
 	if differs(a.runner.heartbeat, heartbeat, present) {
 		a.unreported = true
 	}
-	leaving := heartbeat.Draining || a.runner.unannouncedAt > 0
-	if a.orders.dropFetched(present, leaving, a.now) {
+	if a.orders.dropFetched(present, a.runner.leavesBy(heartbeat), a.now) {
 		a.unreported = true
 	}
 	for _, stopped := range a.orders.recordCleared(present) {
--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -30,8 +30,8 @@
 // another identity has taken lost its disk and never comes back, so that nothing is
 // waited for; one that is merely silent is given a little time, and can ask to join
 // again when it returns.
-func (s *Server) changeMembership() {
-	members := s.memberStates()
+func (s *Server) changeMembership(statuses []raft.MemberStatus) {
+	members := s.memberStates(statuses)
 	established := s.now.Since(s.leader.since) > voterSilentLimit
 	if next := nextMembers(members, s.wantedVoters(members), established); next != nil {
 		s.raft.ProposeMembers(next)
@@ -64,15 +64,15 @@
 
 // memberStates is the group as this leader sees it. Whoever it has not heard in its
 // own term is neither live nor caught up.
-func (s *Server) memberStates() []memberState {
+func (s *Server) memberStates(statuses []raft.MemberStatus) []memberState {
 	members := s.raft.Members()
-	statuses := map[identifier.Node]raft.MemberStatus{}
-	for _, status := range s.raft.MemberStatuses() {
-		statuses[status.ID] = status
+	byID := map[identifier.Node]raft.MemberStatus{}
+	for _, status := range statuses {
+		byID[status.ID] = status
 	}
 	var list []memberState
 	for _, member := range members {
-		status, other := statuses[member.ID]
+		status, other := byID[member.ID]
 		if !other {
 			list = append(list, memberState{Member: member, self: true, live: true})
 			continue
--- a/internal/controlplane/transfer_log.go
+++ b/internal/controlplane/transfer_log.go
@@ -1,6 +1,8 @@
 package controlplane
 
 import (
+	"slices"
+
 	"orchidward/internal/api/identifier"
 	"orchidward/internal/clock"
 	"orchidward/internal/consensus/raft"
@@ -25,14 +27,30 @@
 // logTransfers logs when the transfer of a snapshot to a member begins, stands still
 // and ends: at most one line for each of them, and one every transferStalledInterval
 // while it stands still.
-func (s *Server) logTransfers() {
-	observed := map[identifier.Node]observedTransfer{}
-	for _, status := range s.raft.MemberStatuses() {
-		if transfer := s.logTransfer(status); transfer.index != 0 {
-			observed[status.ID] = transfer
+func (s *Server) logTransfers(statuses []raft.MemberStatus) {
+	present := 0
+	for _, status := range statuses {
+		transfer := s.logTransfer(status)
+		if transfer.index == 0 {
+			delete(s.leader.transfers, status.ID)
+			continue
+		}
+		s.leader.transfers[status.ID] = transfer
+		present++
+	}
+	if present < len(s.leader.transfers) {
+		s.forgetTransfers(statuses)
+	}
+}
+
+// forgetTransfers forgets the transfers to members that are no more.
+func (s *Server) forgetTransfers(statuses []raft.MemberStatus) {
+	for id := range s.leader.transfers {
+		isMember := func(status raft.MemberStatus) bool { return status.ID == id }
+		if !slices.ContainsFunc(statuses, isMember) {
+			delete(s.leader.transfers, id)
 		}
 	}
-	s.leader.transfers = observed
 }
 
 // logTransfer logs what has happened to the transfer to one member, and returns the one
--- a/internal/transport/link/streams.go
+++ b/internal/transport/link/streams.go
@@ -33,7 +33,7 @@
 
 // writeDialled sends what is queued until either direction fails, the link stops, or
 // nothing was sent or received for the idle timeout. It reports whether it ended for the
-// last reason.
+// last reason. Its caller closes the connection.
 func (l *Link) writeDialled(c *connection, conn net.Conn, readEnded, stop <-chan struct{}) (idle bool) {
 	writer := newMessageWriter(c, conn)
 	timer := time.NewTimer(l.idleTimeout)
@@ -53,7 +53,6 @@
 			receivedBefore = received
 		case message := <-c.queue.Out():
 			if writer.write(message) != nil {
-				conn.Close()
 				return false
 			}
 		}
