--- a/tests/mutation/jobs.go
+++ b/tests/mutation/jobs.go
@@ -162,9 +162,9 @@
 	},
 	{
 		name:        "late work first",
-		file:        "internal/scheduler/queues.go",
-		original:    "for class := onTime; class <= tooLate; class++ {",
-		replacement: "for class := tooLate; class >= onTime; class-- {",
+		file:        "internal/scheduler/job_order.go",
+		original:    "cmp.Compare(a.timeliness, b.timeliness),",
+		replacement: "cmp.Compare(b.timeliness, a.timeliness),",
 		tests:       test("./internal/scheduler", "TestTimelyJobsFirst"),
 		want:        "want q/first",
 	},
--- a/tests/mutation/mutation.go
+++ b/tests/mutation/mutation.go
@@ -51,6 +51,7 @@
 		versionMutations,
 		jobMutations,
 		runnerMutations,
+		placementMutations,
 		operatorMutations,
 		requestMutations,
 	)
--- a/tests/mutation/runners.go
+++ b/tests/mutation/runners.go
@@ -93,8 +93,8 @@
 	{
 		name:        "slow runs are left",
 		file:        "internal/controlplane/runner_health.go",
-		original:    "return here > there+there/4+minMoveGain",
-		replacement: "return here > there+1<<40",
+		original:    "return progress.remaining() > there+there/4+minMoveGain",
+		replacement: "return progress.remaining() > there+1<<40",
 		tests:       test("./internal/controlplane", "TestSlowRunnerAvoided"),
 		want:        "turned slow job",
 	},
@@ -133,8 +133,8 @@
 	{
 		name:        "unannounced leaver gets starts",
 		file:        "internal/agent/heartbeats.go",
-		original:    "return r.heartbeat.Draining || r.unannouncedAt > 0",
-		replacement: "return r.heartbeat.Draining",
+		original:    "return heartbeat.Draining || r.unannouncedAt > 0",
+		replacement: "return heartbeat.Draining",
 		tests:       test("./internal/agent", "TestUnannouncedFarewell"),
 		want:        "reported at the farewell",
 	},
