--- a/tests/mutation/consensus.go
+++ b/tests/mutation/consensus.go
@@ -92,6 +92,14 @@
 		tests:       test("./internal/consensus/raft", "TestChaosFiveVoters"),
 		want:        "seed ",
 	},
+	{
+		name:        "acknowledged on the disks that are lost",
+		file:        "internal/consensus/raft/replication.go",
+		original:    "quorumMatch := matches[r.voterCount()/2]",
+		replacement: "quorumMatch := matches[0]",
+		tests:       test("./tests/simulation/membership", "TestDisksLostWhileAllLosePower"),
+		want:        "P9 at",
+	},
 	{
 		name:        "two members of five changed at once",
 		file:        "internal/consensus/raft/membership.go",
