--- a/internal/controlplane/leader.go
+++ b/internal/controlplane/leader.go
@@ -35,8 +35,10 @@
 	cycle  schedulingCycle
 	// durations predicts how long tasks run; commonRate is what the rates of the runners
 	// have in common, as a logarithm.
-	durations  *prediction.Durations
-	commonRate float64
+	durations *prediction.Durations
+	// successStreaks counts the successes of each runner since its last defect.
+	successStreaks map[identifier.Runner]int
+	commonRate     float64
 	// jobTimes is where the time of jobs went.
 	jobTimes jobTimes
 
@@ -69,6 +71,7 @@
 		drains:          newDrainProgress(),
 		cycle:           newSchedulingCycle(),
 		durations:       prediction.NewDurations(),
+		successStreaks:  map[identifier.Runner]int{},
 		jobTimes:        newJobTimes(s.now),
 		maxVotersLiveAt: s.now,
 		transfers:       map[identifier.Node]observedTransfer{},
--- a/internal/controlplane/run_progress.go
+++ b/internal/controlplane/run_progress.go
@@ -152,6 +152,12 @@
 	}
 	for _, end := range command.ReportEnds.Ends {
 		lease := s.state.Leases[end.Lease]
+		switch end.Outcome {
+		case state.OutcomeSuccess:
+			s.leader.successStreaks[command.ReportEnds.Runner]++
+		case state.OutcomeDefect:
+			s.leader.successStreaks[command.ReportEnds.Runner] = 0
+		}
 		if lease == nil || end.Outcome != state.OutcomeSuccess {
 			continue
 		}
--- a/internal/controlplane/scheduling.go
+++ b/internal/controlplane/scheduling.go
@@ -73,6 +73,7 @@
 	return scheduler.RunnerView{
 		Schedulable:   s.schedulable(),
 		WorkRate:      s.workRate,
+		SuccessStreak: func(name identifier.Runner) int { return s.leader.successStreaks[name] },
 		DistantFactor: int64(s.leader.durations.DistantFactor() * 1000),
 		Predict: func(queue string, estimate clock.Millis) scheduler.PredictedRun {
 			run, deviation := s.leader.durations.Predict(queue, estimate)
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -125,6 +125,7 @@
 	return RunnerView{
 		Schedulable:   fresh,
 		WorkRate:      workRate,
+		SuccessStreak: func(identifier.Runner) int { return 0 },
 		DistantFactor: 2000,
 		Predict:       func(_ string, estimate clock.Millis) PredictedRun { return PredictedRun{Run: estimate} },
 		Remaining:     func(*state.Lease) (clock.Millis, bool) { return 0, false },
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -15,7 +15,7 @@
 	free job.Demand
 	// reserved is what of free is reserved for a unit that waits.
 	reserved job.Demand
-	// onTrial says that the runner has so many defects that it gets one task at a time.
+	// onTrial says that the runner has so many defects that it gets few tasks at a time.
 	onTrial bool
 	// rackLeaving says that another runner of its rack has announced its departure.
 	rackLeaving bool
@@ -46,7 +46,7 @@
 			continue
 		}
 		onTrial := needsTrial(runner, mean)
-		if onTrial && runner.OpenLeases() > 0 {
+		if onTrial && runner.OpenLeases() >= trialTasks(view.SuccessStreak(name)) {
 			continue
 		}
 		list = append(list, node{
@@ -106,8 +106,19 @@
 	return r.Defects >= minTrialDefects && defectRate(r) > trialRateFactor*mean+trialRateMargin
 }
 
+// successesPerDoubling is how many successes in a row double the tasks that a runner on
+// trial may have.
+const successesPerDoubling = 2
+
+// trialTasks is how many tasks a runner on trial may have: one, and more as it succeeds, so
+// that one that has recovered is soon in use again (the slow start of TCP: RFC 5681, 3.1).
+func trialTasks(streak int) int { return 1 << min(streak/successesPerDoubling, maxTrialDoublings) }
+
+// maxTrialDoublings bounds the tasks of a runner on trial.
+const maxTrialDoublings = 8
+
 // eligible tells whether the node may get a task of the step, were there free
-// resources. A node on trial gets none after its first.
+// resources. A node on trial gets one in a cycle.
 func (n *node) eligible(step *job.Step) bool {
 	if !feasibility.HasLabels(n.runner.Labels, step.Labels) {
 		return false
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -50,6 +50,8 @@
 	Schedulable func(r identifier.Runner) bool
 	// WorkRate is how fast tasks run there, in thousandths of the nominal rate.
 	WorkRate func(r identifier.Runner) int64
+	// SuccessStreak is how many attempts there have succeeded since the last defect.
+	SuccessStreak func(r identifier.Runner) int
 	// DistantFactor is how many times as long tasks run away from their data, in
 	// thousandths.
 	DistantFactor int64
