--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -145,6 +145,9 @@
 	// about as long.
 	rowTightFitDivisor   = 1
 	queueTightFitDivisor = 10
+	// runQuantum is the difference of expected runs, in thousandths, below which nodes count
+	// as alike: rates are not known more exactly.
+	runQuantum = 250
 	// minWorkRate bounds what a slow node can cost.
 	minWorkRate = 50
 	// onePart is a whole in thousandths.
@@ -175,7 +178,7 @@
 	if step.PreferredRack != "" && step.PreferredRack != n.runner.Rack {
 		run = run * c.view.DistantFactor / onePart
 	}
-	return run
+	return (run + runQuantum/2) / runQuantum * runQuantum
 }
 
 // bestNode finds the node with the best score for one task, nil when none fits.
