--- a/internal/controlplane/scheduling.go
+++ b/internal/controlplane/scheduling.go
@@ -53,8 +53,9 @@
 	}
 	cycle.needed = false
 	cycle.lastAt = s.now
-	cycle.usage.Update(s.state, s.now)
-	plan := scheduler.Schedule(s.state, s.runnerView(), s.policyCache)
+	view := s.runnerView()
+	cycle.usage.Update(s.state, view.Predict, s.now)
+	plan := scheduler.Schedule(s.state, view, s.policyCache)
 	cycle.deferred.Update(plan.Deferred, s.now)
 	s.waitReasons = plan.Reasons
 	s.recordPolicyResults(plan.Policies)
--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/bits"
 
 	"orchidward/internal/api/job"
 	"orchidward/internal/clock"
@@ -9,9 +10,11 @@
 )
 
 // Work of a lower priority that runs long would otherwise take every free resource in a
-// burst, and more urgent work that comes a moment later would wait for it to end, as nothing
-// that runs is preempted for a job of a queue. So less urgent work leaves free what more
-// urgent work has lately had in use beyond what it has in use now.
+// burst, and more urgent short work that comes a moment later would wait for it to end, as
+// nothing that runs is preempted for a job of a queue. So it leaves free what more urgent and
+// much shorter work has lately had in use beyond what that has in use now. For urgent work
+// that runs as long as the other nothing is kept: room is as soon free again as it would be
+// used.
 
 const (
 	// usageMemory is the time in which a peak of usage fades to a third.
@@ -22,59 +25,93 @@
 	// maxPriorities bounds the priorities that usage is kept for; lower ones count as the
 	// last.
 	maxPriorities = 8
+	// Runs are in classes of length, each twice as long as the one before, the first up to
+	// shortestRun; room is kept for those that are muchShorter classes shorter.
+	lengthClasses              = 12
+	shortestRun   clock.Millis = 100
+	muchShorter                = 2
 )
 
-// priorityUse is the demand in use of each priority and all above it.
-type priorityUse [maxPriorities]job.Demand
+// usage is the demand in use by priority and length of run: of each priority and all above
+// it, that of each length and all below it.
+type usage [maxPriorities][lengthClasses]job.Demand
 
 func priorityClass(priority int64) int { return int(min(max(priority, 0), maxPriorities-1)) }
 
-// add adds the demand of a job to its priority and all below it.
-func (u *priorityUse) add(priority int64, demand job.Demand) {
-	for class := priorityClass(priority); class < maxPriorities; class++ {
-		u[class] = u[class].Plus(demand)
+func lengthClass(run clock.Millis) int {
+	class := bits.Len64(uint64(max(run, 0) / shortestRun))
+	return min(class, lengthClasses-1)
+}
+
+// accumulate turns the demand of single classes into that of all classes up to each.
+func (u *usage) accumulate() {
+	for priority := range u {
+		for length := range u[priority] {
+			if length > 0 {
+				u[priority][length] = u[priority][length].Plus(u[priority][length-1])
+			}
+		}
+	}
+	for priority := 1; priority < maxPriorities; priority++ {
+		for length := range u[priority] {
+			u[priority][length] = u[priority][length].Plus(u[priority-1][length])
+		}
+	}
+}
+
+// add adds demand of one class to all that include it.
+func (u *usage) add(priority, length int, demand job.Demand) {
+	for p := priority; p < maxPriorities; p++ {
+		for l := length; l < lengthClasses; l++ {
+			u[p][l] = u[p][l].Plus(demand)
+		}
 	}
 }
 
 // UsageHistory is what each pool lately had in use, by priority: a peak that fades. Its owner
 // keeps it from cycle to cycle. It holds the pools of the catalogue, which are bounded.
 type UsageHistory struct {
-	current map[string]*priorityUse
-	peaks   map[string]*priorityUse
+	current map[string]*usage
+	peaks   map[string]*usage
 	at      clock.Monotonic
 }
 
 // NewUsageHistory returns one that knows nothing.
-func NewUsageHistory() *UsageHistory { return &UsageHistory{peaks: map[string]*priorityUse{}} }
+func NewUsageHistory() *UsageHistory { return &UsageHistory{peaks: map[string]*usage{}} }
 
-// Update takes what is in use now.
-func (h *UsageHistory) Update(store *state.Store, now clock.Monotonic) {
+// Update takes what is in use now, by runs as they are predicted.
+func (h *UsageHistory) Update(store *state.Store, predict RunPredictor, now clock.Monotonic) {
 	fade := math.Exp(-float64(now.Since(h.at)) / float64(usageMemory))
 	h.at = now
-	h.current = usageByPool(store)
+	h.current = usageByPool(store, predict)
 	for pool, peak := range h.peaks {
-		for class := range peak {
-			peak[class] = scaled(peak[class], fade)
-		}
-		if h.current[pool] == nil && peak[maxPriorities-1].CPU() == 0 {
+		peak.each(func(demand *job.Demand, _, _ int) { *demand = scaled(*demand, fade) })
+		if h.current[pool] == nil && peak[maxPriorities-1][lengthClasses-1].CPU() == 0 {
 			delete(h.peaks, pool)
 		}
 	}
 	for pool, use := range h.current {
 		peak := h.peaks[pool]
 		if peak == nil {
-			peak = &priorityUse{}
+			peak = &usage{}
 			h.peaks[pool] = peak
 		}
-		for class := range peak {
-			peak[class] = larger(peak[class], use[class])
+		peak.each(func(demand *job.Demand, p, l int) { *demand = larger(*demand, use[p][l]) })
+	}
+}
+
+// each visits the demand of all classes.
+func (u *usage) each(visit func(demand *job.Demand, priority, length int)) {
+	for priority := range u {
+		for length := range u[priority] {
+			visit(&u[priority][length], priority, length)
 		}
 	}
 }
 
 // usageByPool adds up the open leases of queues' jobs.
-func usageByPool(store *state.Store) map[string]*priorityUse {
-	pools := map[string]*priorityUse{}
+func usageByPool(store *state.Store, predict RunPredictor) map[string]*usage {
+	pools := map[string]*usage{}
 	for _, lease := range store.Leases {
 		terms := store.Jobs[lease.Task.Job].Terms
 		if terms == nil {
@@ -82,10 +119,15 @@
 		}
 		use := pools[terms.Pool]
 		if use == nil {
-			use = &priorityUse{}
+			use = &usage{}
 			pools[terms.Pool] = use
 		}
-		use.add(terms.Priority, lease.Demand)
+		length := lengthClass(predict(terms.Queue, lease.ExpectedRun).Run)
+		class := &use[priorityClass(terms.Priority)][length]
+		*class = class.Plus(lease.Demand)
+	}
+	for _, use := range pools {
+		use.accumulate()
 	}
 	return pools
 }
@@ -110,8 +152,8 @@
 type poolRoom struct {
 	capacity job.Demand
 	free     job.Demand
-	use      priorityUse
-	peak     priorityUse
+	use      usage
+	peak     usage
 }
 
 // newPoolRooms adds up the nodes of each pool.
@@ -134,14 +176,16 @@
 	return rooms
 }
 
-// leavesHeadroom reports whether a unit leaves free what more urgent work has lately had in
-// use beyond what it has now. In a pool with much free room everything does.
-func (r *poolRoom) leavesHeadroom(u unit) bool {
-	class := priorityClass(u.job.Terms.Priority)
-	if class == 0 || r.capacity.Minus(r.free).Share(r.capacity) < headroomFrom {
+// leavesHeadroom reports whether a unit, whose tasks are predicted to run so long, leaves free
+// what more urgent and much shorter work has lately had in use beyond what it has now. In a
+// pool with much free room everything does.
+func (r *poolRoom) leavesHeadroom(u unit, run clock.Millis) bool {
+	priority := priorityClass(u.job.Terms.Priority) - 1
+	length := lengthClass(run) - muchShorter
+	if priority < 0 || length < 0 || r.capacity.Minus(r.free).Share(r.capacity) < headroomFrom {
 		return true
 	}
-	kept := larger(r.peak[class-1].Minus(r.use[class-1]), job.Demand{})
+	kept := larger(r.peak[priority][length].Minus(r.use[priority][length]), job.Demand{})
 	free := r.free
 	for range u.taskNumbers {
 		free = free.Minus(u.spec().Demand)
@@ -150,10 +194,10 @@
 }
 
 // take notes the placement of a unit.
-func (r *poolRoom) take(u unit) {
+func (r *poolRoom) take(u unit, run clock.Millis) {
 	for range u.taskNumbers {
 		demand := u.spec().Demand
 		r.free = r.free.Minus(demand)
-		r.use.add(u.job.Terms.Priority, demand)
+		r.use.add(priorityClass(u.job.Terms.Priority), lengthClass(run), demand)
 	}
 }
--- a/internal/scheduler/headroom_test.go
+++ b/internal/scheduler/headroom_test.go
@@ -25,23 +25,25 @@
 	}
 	submitToQueue(t, store, "urgent", "q0", 10, step(4))
 	scheduleAndPlace(t, store)
-	history.Update(store, 1000)
+	history.Update(store, view.Predict, 1000)
 	endLeases(t, store, state.OutcomeSuccess, keepNone)
 
-	submitToQueue(t, store, "wide", "q2", 20, step(30))
-	history.Update(store, 1001)
+	wide := step(30)
+	wide.ExpectedRun = 8000
+	submitToQueue(t, store, "wide", "q2", 20, wide)
+	history.Update(store, view.Predict, 1001)
 	plan := Schedule(store, view, policy.NewCache())
 	if len(plan.Placements) != 16 {
 		t.Fatalf("%d tasks of a low priority are placed, want 16 of 20 with 4 left free", len(plan.Placements))
 	}
 	place(t, store, plan.Placements...)
 	submitToQueue(t, store, "urgent2", "q0", 30, step(4))
-	history.Update(store, 1002)
+	history.Update(store, view.Predict, 1002)
 	plan = Schedule(store, view, policy.NewCache())
 	if len(plan.Placements) != 4 || plan.Placements[0].Job != "q/urgent2" {
 		t.Fatalf("urgent work is not placed at once: %+v", plan.Placements)
 	}
-	history.Update(store, 60_000)
+	history.Update(store, view.Predict, 60_000)
 	if plan = Schedule(store, view, policy.NewCache()); len(plan.Placements) != 4 {
 		t.Errorf("a minute later %d tasks are placed, want 4", len(plan.Placements))
 	}
@@ -52,18 +54,39 @@
 func TestHeadroomNeedsPressure(t *testing.T) {
 	store := newQueueStore(t, 5)
 	history := NewUsageHistory()
-	submitToQueue(t, store, "urgent", "q0", 10, job.Step{Tasks: 5, Demand: job.Demand{MilliCores: 8000, Mem: 1}})
-	scheduleAndPlace(t, store)
-	history.Update(store, 1000)
-	endLeases(t, store, state.OutcomeSuccess, keepNone)
-	history.Update(store, 1001)
-	submitToQueue(t, store, "low", "q2", 20, job.Step{Tasks: 3, Demand: job.Demand{MilliCores: 8000, Mem: 1}})
 	view := newView(
 		func(identifier.Runner) bool { return true },
 		func(identifier.Runner) int64 { return prediction.NominalRate },
 	)
 	view.Usage = history
+	submitToQueue(t, store, "urgent", "q0", 10, job.Step{Tasks: 5, Demand: job.Demand{MilliCores: 8000, Mem: 1}})
+	scheduleAndPlace(t, store)
+	history.Update(store, view.Predict, 1000)
+	endLeases(t, store, state.OutcomeSuccess, keepNone)
+	history.Update(store, view.Predict, 1001)
+	low := job.Step{Tasks: 3, Demand: job.Demand{MilliCores: 8000, Mem: 1}, ExpectedRun: 8000}
+	submitToQueue(t, store, "low", "q2", 20, low)
 	if plan := Schedule(store, view, policy.NewCache()); len(plan.Placements) != 3 {
 		t.Errorf("%d tasks are placed in an empty pool, want 3", len(plan.Placements))
 	}
 }
+
+// TestHeadroomForShortWorkOnly: nothing is kept free for urgent work that runs about as long.
+func TestHeadroomForShortWorkOnly(t *testing.T) {
+	store := newQueueStore(t, 5)
+	view := newView(
+		func(identifier.Runner) bool { return true },
+		func(identifier.Runner) int64 { return prediction.NominalRate },
+	)
+	urgent := job.Step{Tasks: 4, Demand: job.Demand{MilliCores: 2000, Mem: 1}, ExpectedRun: 5000}
+	submitToQueue(t, store, "urgent", "q0", 10, urgent)
+	scheduleAndPlace(t, store)
+	view.Usage.Update(store, view.Predict, 1000)
+	endLeases(t, store, state.OutcomeSuccess, keepNone)
+	wide := job.Step{Tasks: 30, Demand: job.Demand{MilliCores: 2000, Mem: 1}, ExpectedRun: 8000}
+	submitToQueue(t, store, "wide", "q2", 20, wide)
+	view.Usage.Update(store, view.Predict, 1001)
+	if plan := Schedule(store, view, policy.NewCache()); len(plan.Placements) != 20 {
+		t.Errorf("%d tasks are placed, want all 20 that fit", len(plan.Placements))
+	}
+}
--- a/internal/scheduler/queues.go
+++ b/internal/scheduler/queues.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 
 	"orchidward/internal/api/identifier"
 	"orchidward/internal/api/job"
@@ -19,7 +18,8 @@
 		return placementResult{}
 	}
 	room := c.rooms[u.job.Terms.Pool]
-	if room != nil && !room.leavesHeadroom(u) {
+	run := c.view.Predict(u.job.Terms.Queue, u.spec().ExpectedRun).Run
+	if room != nil && !room.leavesHeadroom(u, run) {
 		c.unplaceable[shape] = reasonHeadroom
 		c.plan.Reasons.add(u, reasonHeadroom)
 		return placementResult{newShape: true}
@@ -38,7 +38,7 @@
 	for _, n := range nodes {
 		n.free = n.free.Minus(u.spec().Demand)
 	}
-	room.take(u)
+	room.take(u, run)
 	c.place(u, nodes)
 	return placementResult{placed: true, newShape: true}
 }
@@ -46,7 +46,7 @@
 func queueShape(u unit) unitShape {
 	step := u.spec()
 	shape := unitShape{demand: step.Demand, count: len(u.taskNumbers)}
-	shape.constraints = u.job.Terms.Pool + "/" + strconv.FormatInt(u.job.Terms.Priority, 10) + "/" + string(step.PreferredRack)
+	shape.constraints = u.job.Terms.Queue + "/" + u.job.Terms.Pool + "/" + string(step.PreferredRack)
 	for _, label := range step.Labels {
 		shape.constraints += " " + string(label)
 	}
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -44,6 +44,10 @@
 	Deviation float64
 }
 
+// RunPredictor predicts how long a task of a queue runs near its data on a runner of the
+// nominal rate, by its estimate in milliseconds.
+type RunPredictor func(queue string, estimate clock.Millis) PredictedRun
+
 // RunnerView is what a leader knows of runners beyond the state.
 type RunnerView struct {
 	// Schedulable tells whether the runner may be given tasks now.
@@ -57,7 +61,7 @@
 	DistantFactor int64
 	// Predict is how long a task of a queue runs near its data on a runner of the nominal
 	// rate, by its estimate.
-	Predict func(queue string, estimate clock.Millis) PredictedRun
+	Predict RunPredictor
 	// Remaining is how long the run of a lease is expected to go on; it is not ok where
 	// that is not known.
 	Remaining func(lease *state.Lease) (remaining clock.Millis, ok bool)
--- a/tests/mutation/placement.go
+++ b/tests/mutation/placement.go
@@ -54,7 +54,7 @@
 		name:        "low priorities take all room",
 		file:        "internal/scheduler/headroom.go",
 		original:    "return kept.Fits(free)",
-		replacement: "return kept.Fits(free) || class > 0",
+		replacement: "return kept.Fits(free) || length >= 0",
 		tests:       test("./internal/scheduler", "TestHeadroomForUrgentWork"),
 		want:        "with 4 left free",
 	},
