--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -178,11 +178,12 @@
 
 // leavesHeadroom reports whether a unit, whose tasks are predicted to run so long, leaves free
 // what more urgent and much shorter work has lately had in use beyond what it has now. In a
-// pool with much free room everything does.
+// pool with much free room everything does. Services are held back for nobody: they are to
+// run whenever there is room for them.
 func (r *poolRoom) leavesHeadroom(u unit, run clock.Millis) bool {
 	priority := priorityClass(u.job.Terms.Priority) - 1
 	length := lengthClass(run) - muchShorter
-	if priority < 0 || length < 0 || r.capacity.Minus(r.free).Share(r.capacity) < headroomFrom {
+	if priority < 0 || length < 0 || u.spec().Service || r.capacity.Minus(r.free).Share(r.capacity) < headroomFrom {
 		return true
 	}
 	kept := larger(r.peak[priority][length].Minus(r.use[priority][length]), job.Demand{})
--- a/internal/scheduler/headroom_test.go
+++ b/internal/scheduler/headroom_test.go
@@ -5,6 +5,7 @@
 
 	"orchidward/internal/api/identifier"
 	"orchidward/internal/api/job"
+	"orchidward/internal/clock"
 	"orchidward/internal/prediction"
 	"orchidward/internal/scheduler/policy"
 	"orchidward/internal/state"
@@ -71,19 +72,29 @@
 	}
 }
 
-// TestHeadroomForShortWorkOnly: nothing is kept free for urgent work that runs about as long.
+// TestHeadroomForShortWorkOnly: nothing is kept free for urgent work that runs about as long,
+// and services are not held back for any.
 func TestHeadroomForShortWorkOnly(t *testing.T) {
+	testNothingHeldBack(t, 5000, job.Step{ExpectedRun: 8000})
+	testNothingHeldBack(t, 500, job.Step{ExpectedRun: 8000, Service: true})
+}
+
+// testNothingHeldBack has urgent work of the given run end, and wants all room to be given to
+// the other step at once.
+func testNothingHeldBack(t *testing.T, urgentRun clock.Millis, wide job.Step) {
+	t.Helper()
 	store := newQueueStore(t, 5)
 	view := newView(
 		func(identifier.Runner) bool { return true },
 		func(identifier.Runner) int64 { return prediction.NominalRate },
 	)
-	urgent := job.Step{Tasks: 4, Demand: job.Demand{MilliCores: 2000, Mem: 1}, ExpectedRun: 5000}
+	urgent := job.Step{Tasks: 4, Demand: job.Demand{MilliCores: 2000, Mem: 1}, ExpectedRun: urgentRun}
 	submitToQueue(t, store, "urgent", "q0", 10, urgent)
 	scheduleAndPlace(t, store)
 	view.Usage.Update(store, view.Predict, 1000)
 	endLeases(t, store, state.OutcomeSuccess, keepNone)
-	wide := job.Step{Tasks: 30, Demand: job.Demand{MilliCores: 2000, Mem: 1}, ExpectedRun: 8000}
+	wide.Tasks = 30
+	wide.Demand = urgent.Demand
 	submitToQueue(t, store, "wide", "q2", 20, wide)
 	view.Usage.Update(store, view.Predict, 1001)
 	if plan := Schedule(store, view, policy.NewCache()); len(plan.Placements) != 20 {
--- a/tests/mutation/placement.go
+++ b/tests/mutation/placement.go
@@ -58,6 +58,22 @@
 		tests:       test("./internal/scheduler", "TestHeadroomForUrgentWork"),
 		want:        "with 4 left free",
 	},
+	{
+		name:        "services wait for headroom",
+		file:        "internal/scheduler/headroom.go",
+		original:    "length < 0 || u.spec().Service ||",
+		replacement: "length < 0 ||",
+		tests:       test("./internal/scheduler", "TestHeadroomForShortWorkOnly"),
+		want:        "want all 20",
+	},
+	{
+		name:        "one task at a time for good",
+		file:        "internal/scheduler/node.go",
+		original:    "return 1 << min(streak/successesPerDoubling, maxTrialDoublings)",
+		replacement: "return 1",
+		tests:       test("./internal/scheduler", "TestTrialEndsWithSuccesses"),
+		want:        "after 4 successes",
+	},
 	{
 		name:        "room is left free in an empty pool",
 		file:        "internal/scheduler/headroom.go",
