--- a/internal/controlplane/agent_polls.go
+++ b/internal/controlplane/agent_polls.go
@@ -31,12 +31,11 @@
 	sentStops           map[runnerapi.RunStop]bool
 	sentObservedThrough uint64
 	// workRate is how fast work goes here, in thousandths of the nominal rate, and
-	// workRateAt when it was last known. slowSince is since when it is slow, 0 when it is
-	// not. rateEvidence is what the runs of the last poll say of it. quarantinedUntil is until when nothing is
+	// workRateAt when it was last known. rateEvidence is what the runs of the last poll
+	// say of it. quarantinedUntil is until when nothing is
 	// placed here.
 	workRate         int64
 	workRateAt       clock.Monotonic
-	slowSince        clock.Monotonic
 	rateEvidence     prediction.Evidence
 	quarantinedUntil clock.Monotonic
 	// noStallBefore is until when no attempt of the last poll can have stalled for too
--- a/internal/controlplane/leader.go
+++ b/internal/controlplane/leader.go
@@ -36,8 +36,6 @@
 	// durations predicts how long tasks run; commonRate is what the rates of the runners
 	// have in common, as a logarithm.
 	durations *prediction.Durations
-	// stops is how long stops take.
-	stops stopTimes
 	// successStreaks counts the successes of each runner since its last defect.
 	successStreaks map[identifier.Runner]int
 	commonRate     float64
@@ -73,7 +71,6 @@
 		drains:          newDrainProgress(),
 		cycle:           newSchedulingCycle(),
 		durations:       prediction.NewDurations(),
-		stops:           newStopTimes(),
 		successStreaks:  map[identifier.Runner]int{},
 		jobTimes:        newJobTimes(s.now),
 		maxVotersLiveAt: s.now,
--- a/internal/controlplane/run_progress.go
+++ b/internal/controlplane/run_progress.go
@@ -84,12 +84,6 @@
 	case s.now.Since(agent.workRateAt) > workRateTTL:
 		agent.workRate = prediction.NominalRate
 	}
-	switch {
-	case agent.workRate >= slowWorkRate:
-		agent.slowSince = 0
-	case agent.slowSince == 0:
-		agent.slowSince = s.now
-	}
 }
 
 // updateCommonRate takes what the runners' rates have in common.
@@ -151,20 +145,12 @@
 	return preferred != "" && preferred != s.state.Runners[lease.Runner].Rack
 }
 
-// observeEnds takes what an entry is about to say of runs: those of the attempts that it ends
-// well, and how long stops take.
+// observeEnds takes the runs of the attempts that an entry is about to end well.
 func (s *Server) observeEnds(command *state.Command) {
-	if s.leader == nil {
-		return
-	}
-	if command.RevokeLeases != nil {
-		s.leader.stops.revoked(command.RevokeLeases.Leases, s.now)
-	}
-	if command.ReportEnds == nil {
+	if s.leader == nil || command.ReportEnds == nil {
 		return
 	}
 	for _, end := range command.ReportEnds.Ends {
-		s.leader.stops.ended(end, s.now)
 		lease := s.state.Leases[end.Lease]
 		switch end.Outcome {
 		case state.OutcomeSuccess:
--- a/internal/controlplane/runner_health.go
+++ b/internal/controlplane/runner_health.go
@@ -166,21 +166,8 @@
 	if step.Checkpoints {
 		there = min(there, there*clock.Millis(100-progress.percent)/100+restoreTime)
 	}
-	// Moving must gain a quarter of the time there, as rates are wrong too, and what it
-	// takes to stop the attempt.
-	here := remainingWhileSlow(progress.remaining(), s.now.Since(contact.agent.slowSince), workRate)
-	return here > there+there/4+minMoveGain+s.leader.stops.usual()
-}
-
-// remainingWhileSlow is how long an attempt on a slow runner is expected to go on that would
-// go on for remaining if the runner stayed slow. Nobody says for how long it does: a state
-// that has lasted for a time is expected to last as long again (Gott, Nature 363, 1993), and
-// the rest of the task goes at the nominal rate.
-func remainingWhileSlow(remaining, slowFor clock.Millis, workRate int64) clock.Millis {
-	if remaining <= slowFor {
-		return remaining
-	}
-	return slowFor + (remaining-slowFor)*clock.Millis(workRate)/prediction.NominalRate
+	// Moving must gain a quarter of the time there, as rates are wrong too, and minMoveGain.
+	return progress.remaining() > there+there/4+minMoveGain
 }
 
 // reserveElsewhere reserves capacity for an attempt, or for its whole gang, on other
