--- a/internal/controlplane/runner_health.go
+++ b/internal/controlplane/runner_health.go
@@ -4,16 +4,15 @@
 	"slices"
 
 	"orchidward/internal/api/identifier"
-	"orchidward/internal/api/job"
 	"orchidward/internal/clock"
-	"orchidward/internal/prediction"
 	"orchidward/internal/state"
 )
 
 // Runners are judged by what their tasks do. The leader watches how far each attempt
 // says it is (run_progress.go): one that stalls is revoked, with its checkpoint, and its runner is
-// quarantined for a while; a runner on which work goes slowly comes last. All of it is
-// evidence of this leader alone; the next one gathers its own.
+// quarantined for a while; a runner on which work goes slowly comes last, and what runs there
+// stays: moving it was measured to lose more than it gains (docs/notes/decisions-under-load.md).
+// All of it is evidence of this leader alone; the next one gathers its own.
 
 const (
 	// healthCheckInterval is how often attempts are judged.
@@ -24,11 +23,6 @@
 	restoreTime clock.Millis = 800
 	// quarantineTime is how long a runner gets no work after an attempt stalled.
 	quarantineTime clock.Millis = 6000
-	// slowWorkRate is the work rate below which a runner is slow, in thousandths of the
-	// nominal one.
-	slowWorkRate = 400
-	// minMoveGain is what moving an attempt costs at least, and what must be gained.
-	minMoveGain clock.Millis = 400
 	// maxRevocations bounds the attempts revoked at once.
 	maxRevocations = 16
 	// Attempts are judged on fresh reports only: the agent must have been heard within
@@ -81,18 +75,7 @@
 	return true
 }
 
-// unhealthyRuns are the leases to revoke after one check.
-type unhealthyRuns struct {
-	stalled []identifier.LeaseID
-	slow    []identifier.LeaseID
-	// reserved is the capacity that the slow ones would take on other runners.
-	reserved map[identifier.Runner]job.Demand
-}
-
-func (u *unhealthyRuns) full() bool { return len(u.stalled)+len(u.slow) >= maxRevocations }
-
-// revokeUnhealthyRuns revokes attempts that stall, that would be done sooner elsewhere,
-// or that will never start.
+// revokeUnhealthyRuns revokes attempts that stall, or that will never start.
 func (s *Server) revokeUnhealthyRuns() {
 	l := s.leader
 	if l.revokeProposal > s.appliedIndex || s.now.Since(l.lastHealthCheck) < healthCheckInterval {
@@ -100,23 +83,18 @@
 	}
 	l.lastHealthCheck = s.now
 	s.updateCommonRate()
-	found := &unhealthyRuns{reserved: map[identifier.Runner]job.Demand{}}
+	var stalled []identifier.LeaseID
 	for _, name := range s.state.RunnerNames() {
 		if c := l.runners[name]; s.worthChecking(c) {
-			s.checkRuns(name, c, found)
+			stalled = append(stalled, s.stalledRuns(name, c)...)
 		}
 	}
-	if len(found.slow) > 0 {
-		slices.Sort(found.slow)
-		s.logEvent("runs-slow", "leases", len(found.slow))
-		s.revokeRuns(found.slow, state.RevokeSlow)
-	}
 	if never := s.neverStarted(); len(never) > 0 {
 		s.revokeRuns(never, state.RevokeStartUnconfirmed)
 	}
-	if len(found.stalled) > 0 {
-		slices.Sort(found.stalled)
-		s.revokeRuns(found.stalled, state.RevokeStalled)
+	if len(stalled) > 0 {
+		slices.Sort(stalled)
+		s.revokeRuns(stalled[:min(len(stalled), maxRevocations)], state.RevokeStalled)
 	}
 }
 
@@ -125,86 +103,28 @@
 }
 
 // worthChecking reports whether the attempts on a runner can be judged, and whether one of
-// them can be unhealthy at all.
+// them can have stalled at all.
 func (s *Server) worthChecking(contact *runnerContact) bool {
 	if contact == nil || contact.agent == nil || contact.silentBefore > maxReportSilence || s.now.Since(contact.lastHeard) > maxReportAge {
 		return false
 	}
-	return s.now > contact.agent.noStallBefore || contact.agent.workRate < slowWorkRate
+	return s.now > contact.agent.noStallBefore
 }
 
-// checkRuns judges the attempts on one runner.
-func (s *Server) checkRuns(name identifier.Runner, contact *runnerContact, found *unhealthyRuns) {
+// stalledRuns lists the attempts on a runner that have stalled, and quarantines it for each.
+func (s *Server) stalledRuns(name identifier.Runner, contact *runnerContact) []identifier.LeaseID {
+	var stalled []identifier.LeaseID
 	for _, id := range s.state.Runners[name].LeaseIDs() {
 		run := contact.agent.runs[id]
 		lease := s.state.Leases[id]
-		if run == nil || run.progress == nil || lease.RevokeReason != "" || found.full() {
+		if run == nil || run.progress == nil || lease.RevokeReason != "" || !s.stalled(contact, run.progress, lease) {
 			continue
 		}
-		if s.stalled(contact, run.progress, lease) {
-			found.stalled = append(found.stalled, id)
-			contact.agent.quarantinedUntil = s.now.Add(quarantineTime)
-			s.logEvent("run-stalled", "runner", name, "task", lease.Task, "run", lease.Attempt, "percent", run.progress.percent)
-			continue
-		}
-		if s.fasterElsewhere(contact, run.progress, lease) && s.reserveElsewhere(name, lease, found.reserved) {
-			found.slow = append(found.slow, id)
-		}
-	}
-}
-
-// fasterElsewhere reports whether an attempt on a slow runner would be done sooner if it
-// began elsewhere, from its checkpoint.
-func (s *Server) fasterElsewhere(contact *runnerContact, progress *runProgress, lease *state.Lease) bool {
-	step := s.state.Jobs[lease.Task.Job].Spec.Steps[lease.Task.Step]
-	workRate := contact.agent.workRate
-	if workRate >= slowWorkRate || progress.rate <= 0 || step.Service {
-		return false
-	}
-	// On a runner of the nominal rate the task would take this long from its beginning.
-	there := progress.wholeRun() * clock.Millis(workRate) / prediction.NominalRate
-	if step.Checkpoints {
-		there = min(there, there*clock.Millis(100-progress.percent)/100+restoreTime)
-	}
-	// Moving must gain a quarter of the time there, as rates are wrong too, and minMoveGain.
-	return progress.remaining() > there+there/4+minMoveGain
-}
-
-// reserveElsewhere reserves capacity for an attempt, or for its whole gang, on other
-// healthy runners of the pool; reserved is what was reserved before. It reserves nothing
-// where not all of them fit.
-func (s *Server) reserveElsewhere(from identifier.Runner, lease *state.Lease, reserved map[identifier.Runner]job.Demand) bool {
-	need := 1 + len(s.state.Partners(lease))
-	schedulable := s.schedulable()
-	var chosen []identifier.Runner
-	for _, name := range s.state.RunnerNames() {
-		if !s.healthyAlternative(name, from) || !schedulable(name) {
-			continue
-		}
-		free := s.state.Runners[name].Free().Minus(reserved[name])
-		for need > len(chosen) && lease.Demand.Fits(free) {
-			free = free.Minus(lease.Demand)
-			chosen = append(chosen, name)
-		}
-	}
-	if len(chosen) < need {
-		return false
-	}
-	for _, name := range chosen {
-		reserved[name] = reserved[name].Plus(lease.Demand)
-	}
-	return true
-}
-
-// healthyAlternative reports whether a runner of the same pool is one that work could move
-// to from another runner.
-func (s *Server) healthyAlternative(name, from identifier.Runner) bool {
-	runner := s.state.Runners[name]
-	contact := s.leader.runners[name]
-	if name == from || runner.Pool != s.state.Runners[from].Pool || runner.Gone || runner.CordonedBy() != "" {
-		return false
+		stalled = append(stalled, id)
+		contact.agent.quarantinedUntil = s.now.Add(quarantineTime)
+		s.logEvent("run-stalled", "runner", name, "task", lease.Task, "run", lease.Attempt, "percent", run.progress.percent)
 	}
-	return contact != nil && contact.agent != nil && contact.agent.workRate >= slowWorkRate
+	return stalled
 }
 
 // neverStarted lists what was placed on agents' runners that are leaving or cordoned and
