--- a/internal/state/job_timing.go
+++ b/internal/state/job_timing.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"orchidward/internal/api/identifier"
 	"orchidward/internal/clock"
@@ -13,11 +14,14 @@
 const (
 	// LostDefect attempts failed.
 	LostDefect LossCause = iota
-	// LostSlow and LostStalled attempts were revoked because of how they came along.
+	// LostSlow attempts were revoked because their runner was slow; only servers of before
+	// did so.
 	LostSlow
+	// LostStalled attempts were revoked because they made no progress.
 	LostStalled
-	// LostPreempted attempts made way for other work, LostDrained ones for a drain.
+	// LostPreempted attempts made way for other work.
 	LostPreempted
+	// LostDrained attempts made way for a drain.
 	LostDrained
 	// LostRunner attempts were on a runner that was counted lost, or that lost its lease.
 	LostRunner
@@ -64,7 +68,7 @@
 	case "":
 		return LostOther
 	}
-	if len(lease.RevokeReason) > len(RevokeDrainPrefix) && lease.RevokeReason[:len(RevokeDrainPrefix)] == RevokeDrainPrefix {
+	if strings.HasPrefix(lease.RevokeReason, RevokeDrainPrefix) {
 		return LostDrained
 	}
 	return LostOther
