--- a/internal/scheduler/deferral.go
+++ b/internal/scheduler/deferral.go
@@ -20,8 +20,13 @@
 // can be.
 const maxDeferrals = 200
 
-// minDeferralGain is what waiting must gain at least, as placing takes a moment too.
-const minDeferralGain clock.Millis = 50
+const (
+	// minDeferralGain is what waiting must gain at least, as placing takes a moment too.
+	minDeferralGain clock.Millis = 50
+	// maxDeferral is how long a task waits for a better node at most, whatever it would gain:
+	// a job must not stand still for seconds while there is room for it.
+	maxDeferral clock.Millis = 1500
+)
 
 // futureRoom is what will become free on a node as its runs end.
 type futureRoom struct {
@@ -103,12 +108,12 @@
 			continue
 		}
 		in, ok := c.freeIn(n, step.Demand)
-		if ok && in+minDeferralGain < gain && (best == nil || in-gain < best.in-best.gain) {
+		if ok && in+minDeferralGain < gain && in < maxDeferral && (best == nil || in-gain < best.in-best.gain) {
 			best = &deferral{n, gain, in}
 		}
 	}
 	ref := u.firstTask()
-	if best == nil || c.view.DeferredFor(ref) >= best.gain {
+	if best == nil || c.view.DeferredFor(ref) >= min(best.gain, maxDeferral) {
 		return false
 	}
 	future := c.futureOf(best.node)
--- a/internal/scheduler/deferral_test.go
+++ b/internal/scheduler/deferral_test.go
@@ -28,22 +28,25 @@
 // more tasks wait than will find room there.
 func TestWaitForNearRunner(t *testing.T) {
 	for _, c := range []struct {
-		name                   string
-		remaining, deferredFor clock.Millis
-		tasks                  int64
-		wantPlaced             int
+		name                        string
+		run, remaining, deferredFor clock.Millis
+		tasks                       int64
+		wantPlaced                  int
 	}{
-		{"room soon", 300, 0, 1, 0},
-		{"room too late", 1200, 0, 1, 1},
-		{"waited too long", 300, 1000, 1, 1},
-		{"more tasks than room", 300, 0, 5, 2},
-		{"room at once elsewhere is as good", 970, 0, 1, 1},
+		{"room soon", 1000, 300, 0, 1, 0},
+		{"room too late", 1000, 1200, 0, 1, 1},
+		{"waited too long", 1000, 300, 1000, 1, 1},
+		{"more tasks than room", 1000, 300, 0, 5, 2},
+		{"room at once elsewhere is as good", 1000, 970, 0, 1, 1},
+		{"a long run waits for room soon", 20_000, 300, 0, 1, 0},
+		{"a long run does not wait for seconds", 20_000, 1600, 0, 1, 1},
+		{"a long run has waited for seconds", 20_000, 300, 1500, 1, 1},
 	} {
 		store := newQueueStore(t, 6)
 		full := job.Step{Tasks: 3, PreferredRack: "k1", Demand: job.Demand{MilliCores: 8000, Mem: 1}}
 		submitToQueue(t, store, "full", "q0", 10, full)
 		scheduleAndPlace(t, store)
-		step := job.Step{Tasks: c.tasks, PreferredRack: "k1", Demand: job.Demand{MilliCores: 8000, Mem: 1}, ExpectedRun: 1000}
+		step := job.Step{Tasks: c.tasks, PreferredRack: "k1", Demand: job.Demand{MilliCores: 8000, Mem: 1}, ExpectedRun: c.run}
 		submitToQueue(t, store, "j", "q0", 20, step)
 		plan := Schedule(store, deferralView(c.remaining, c.deferredFor), policy.NewCache())
 		if len(plan.Placements) != c.wantPlaced || len(plan.Deferred)+c.wantPlaced != int(c.tasks) {
--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -20,7 +20,7 @@
 	// usageMemory is the time in which a peak of usage fades to a third.
 	usageMemory clock.Millis = 10000
 	// headroomFrom is the share of a pool, in millionths, that must be in use before room is
-	// left free.
+	// left free. Runners that get no work for the moment belong to the pool as well.
 	headroomFrom = 600_000
 	// maxPriorities bounds the priorities that usage is kept for; lower ones count as the
 	// last.
@@ -148,7 +148,8 @@
 	}
 }
 
-// poolRoom is what a cycle knows of a pool's resources in all.
+// poolRoom is what a cycle knows of a pool's resources in all: the capacity of its runners
+// that are not lost, what is free on those that may be given work, and what is in use.
 type poolRoom struct {
 	capacity job.Demand
 	free     job.Demand
@@ -156,13 +157,16 @@
 	peak     usage
 }
 
+// inUse is all that is in use.
+func (r *poolRoom) inUse() job.Demand { return r.use[maxPriorities-1][lengthClasses-1] }
+
 // newPoolRooms adds up the nodes of each pool.
-func newPoolRooms(pools map[string][]*node, history *UsageHistory) map[string]*poolRoom {
+func newPoolRooms(store *state.Store, pools map[string][]*node, history *UsageHistory) map[string]*poolRoom {
 	rooms := map[string]*poolRoom{}
+	capacity := capacityByPool(store)
 	for pool, nodes := range pools {
-		room := &poolRoom{}
+		room := &poolRoom{capacity: capacity[pool]}
 		for _, n := range nodes {
-			room.capacity = room.capacity.Plus(n.runner.Capacity)
 			room.free = room.free.Plus(n.free)
 		}
 		if use := history.current[pool]; use != nil {
@@ -176,6 +180,16 @@
 	return rooms
 }
 
+func capacityByPool(store *state.Store) map[string]job.Demand {
+	capacity := map[string]job.Demand{}
+	for _, runner := range store.Runners {
+		if !runner.Gone {
+			capacity[runner.Pool] = capacity[runner.Pool].Plus(runner.Capacity)
+		}
+	}
+	return capacity
+}
+
 // leavesHeadroom reports whether a unit, whose tasks are predicted to run so long, leaves free
 // what more urgent and much shorter work has lately had in use beyond what it has now. In a
 // pool with much free room everything does. Services are held back for nobody: they are to
@@ -183,7 +197,7 @@
 func (r *poolRoom) leavesHeadroom(u unit, run clock.Millis) bool {
 	priority := priorityClass(u.job.Terms.Priority) - 1
 	length := lengthClass(run) - muchShorter
-	if priority < 0 || length < 0 || u.spec().Service || r.capacity.Minus(r.free).Share(r.capacity) < headroomFrom {
+	if priority < 0 || length < 0 || u.spec().Service || r.inUse().Share(r.capacity) < headroomFrom {
 		return true
 	}
 	kept := larger(r.peak[priority][length].Minus(r.use[priority][length]), job.Demand{})
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -128,7 +128,7 @@
 		nodes:        nodes,
 		pools:        pools,
 		queues:       map[string]*catalog.Queue{},
-		rooms:        newPoolRooms(pools, view.Usage),
+		rooms:        newPoolRooms(store, pools, view.Usage),
 		rowUse:       map[identifier.Row]job.Demand{},
 		poolReserved: map[string]bool{},
 		placed:       map[identifier.TaskRef]bool{},
--- a/tests/mutation/placement.go
+++ b/tests/mutation/placement.go
@@ -21,11 +21,19 @@
 	{
 		name:        "tasks wait for a near runner without end",
 		file:        "internal/scheduler/deferral.go",
-		original:    "c.view.DeferredFor(ref) >= best.gain",
+		original:    "c.view.DeferredFor(ref) >= min(best.gain, maxDeferral)",
 		replacement: "c.view.DeferredFor(ref) < 0",
 		tests:       test("./internal/scheduler", "TestWaitForNearRunner"),
 		want:        "waited too long",
 	},
+	{
+		name:        "a job stands still for a better runner",
+		file:        "internal/scheduler/deferral.go",
+		original:    ">= min(best.gain, maxDeferral)",
+		replacement: ">= best.gain",
+		tests:       test("./internal/scheduler", "TestWaitForNearRunner"),
+		want:        "a long run has waited for seconds",
+	},
 	{
 		name:        "all wait for the same room",
 		file:        "internal/scheduler/deferral.go",
