--- a/tests/ablation/edits.go
+++ b/tests/ablation/edits.go
@@ -54,6 +54,36 @@
 		Original:    "/1000/tightFitDivisor + 2*defectRate(n.runner)\n",
 		Replacement: "/1000/tightFitDivisor + 0*defectRate(n.runner)\n",
 	}},
+	"no-prediction": {{
+		File:        "internal/prediction/durations.go",
+		Original:    "	if runs == nil {\n",
+		Replacement: "	if runs == nil || len(d.queues) > 0 {\n",
+	}},
+	"no-predicted-order": {{
+		File:        "internal/scheduler/job_order.go",
+		Original:    "if queue := c.queue(j.Terms.Queue); queue != nil {",
+		Replacement: "if queue := c.queue(j.Terms.Queue); queue != nil && c.full() {",
+	}},
+	"no-deferral": {{
+		File:        "internal/scheduler/deferral.go",
+		Original:    "if gain <= minDeferralGain {",
+		Replacement: "if gain >= 0 {",
+	}},
+	"no-headroom": {{
+		File:        "internal/scheduler/headroom.go",
+		Original:    "return kept.Fits(free)",
+		Replacement: "return kept.Fits(free) || length >= 0",
+	}},
+	"no-trial-growth": {{
+		File:        "internal/scheduler/node.go",
+		Original:    "return 1 << min(streak/successesPerDoubling, maxTrialDoublings)",
+		Replacement: "return 1 << min(0*streak/successesPerDoubling, maxTrialDoublings)",
+	}},
+	"no-quantum": {{
+		File:        "internal/scheduler/node.go",
+		Original:    "	runQuantum = 250\n",
+		Replacement: "	runQuantum = 1\n",
+	}},
 	"no-stall-revocation": {{
 		File:        "internal/controlplane/runner_health.go",
 		Original:    "	return p.stalledFor+s.now.Since(c.lastHeard) > span\n",
