--- a/internal/controlplane/job_timing.go
+++ b/internal/controlplane/job_timing.go
@@ -55,7 +55,8 @@
 // recordEndedJobs takes the jobs that the last entry has ended.
 func (s *Server) recordEndedJobs() {
 	s.state.TakeEndedJobs(func(j *state.Job) {
-		if s.leader == nil || j.Terms == nil || j.EndState == state.Cancelled {
+		// A repeated job is timed by its occurrences.
+		if s.leader == nil || j.Terms == nil || j.Spec.Repeat != nil || j.EndState == state.Cancelled {
 			return
 		}
 		_, timing, ok := j.Timing()
