--- a/internal/scheduler/headroom_test.go
+++ b/internal/scheduler/headroom_test.go
@@ -101,3 +101,27 @@
 		t.Errorf("%d tasks are placed, want all 20 that fit", len(plan.Placements))
 	}
 }
+
+// TestServiceBesideHeldBackWork: that other work of the same queue and size is held back does
+// not hold a service back.
+func TestServiceBesideHeldBackWork(t *testing.T) {
+	store := newQueueStore(t, 5)
+	view := newView(
+		func(identifier.Runner) bool { return true },
+		func(identifier.Runner) int64 { return prediction.NominalRate },
+	)
+	demand := job.Demand{MilliCores: 2000, Mem: 1}
+	submitToQueue(t, store, "urgent", "q0", 10, job.Step{Tasks: 4, Demand: demand})
+	scheduleAndPlace(t, store)
+	view.Usage.Update(store, view.Predict, 1000)
+	endLeases(t, store, state.OutcomeSuccess, keepNone)
+	submitToQueue(t, store, "wide", "q2", 20, job.Step{Tasks: 30, Demand: demand, ExpectedRun: 8000})
+	submitToQueue(t, store, "service", "q2", 21, job.Step{Tasks: 1, Demand: demand, ExpectedRun: 8000, Service: true})
+	view.Usage.Update(store, view.Predict, 1001)
+	for _, placement := range Schedule(store, view, policy.NewCache()).Placements {
+		if placement.Job == "q/service" {
+			return
+		}
+	}
+	t.Error("the service is not placed, though there is room that is kept from others")
+}
--- a/internal/scheduler/queues.go
+++ b/internal/scheduler/queues.go
@@ -53,6 +53,9 @@
 	if step.MaxPerRunner > 0 {
 		shape.constraints += " apart " + string(u.job.Key)
 	}
+	if step.Service {
+		shape.constraints += " service"
+	}
 	return shape
 }
 
--- a/tests/mutation/placement.go
+++ b/tests/mutation/placement.go
@@ -74,6 +74,14 @@
 		tests:       test("./internal/scheduler", "TestHeadroomForShortWorkOnly"),
 		want:        "want all 20",
 	},
+	{
+		name:        "a service shares the shape of what is held back",
+		file:        "internal/scheduler/queues.go",
+		original:    "shape.constraints += \" service\"",
+		replacement: "shape.constraints += \"\"",
+		tests:       test("./internal/scheduler", "TestServiceBesideHeldBackWork"),
+		want:        "the service is not placed",
+	},
 	{
 		name:        "one task at a time for good",
 		file:        "internal/scheduler/node.go",
