controlplane: a runner's rate is summed in the poll's order; Store.Distant, once

Found on the last reading: the logarithms of a runner's rates were summed in the order of a map, so that rounding, and with it a decision, could differ between equal inputs. Whether an attempt runs away from its data stood in state and in controlplane.

--- a/internal/controlplane/run_progress.go
+++ b/internal/controlplane/run_progress.go
@@ -69,8 +69,9 @@
 // fast as the slowest of them, and say nothing of their own. Old evidence is forgotten.
 func (s *Server) updateWorkRate(agent *agentRunner) {
 	agent.rateEvidence = prediction.Evidence{}
-	for id, run := range agent.runs {
-		lease := s.state.Leases[id]
+	// In the poll's order, as sums of fractions depend on theirs.
+	for _, run := range agent.inOrder {
+		lease := s.state.Leases[run.lease]
 		if run.progress == nil || run.progress.rate <= 0 || lease == nil || spansRunners(lease, s.state.Partners(lease)) {
 			continue
 		}
@@ -106,7 +107,7 @@
 		return max(run, 1), 1
 	}
 	run, deviation = s.leader.durations.Predict(j.Terms.Queue, run)
-	if s.distant(lease) {
+	if s.state.Distant(lease) {
 		run = clock.Millis(float64(run) * s.leader.durations.DistantFactor())
 	}
 	return run, deviation
@@ -139,12 +140,6 @@
 	return max(left, run/overdueDivisor, leastRemaining), true
 }
 
-// distant reports whether an attempt runs away from its data.
-func (s *Server) distant(lease *state.Lease) bool {
-	preferred := s.state.Jobs[lease.Task.Job].Spec.Steps[lease.Task.Step].PreferredRack
-	return preferred != "" && preferred != s.state.Runners[lease.Runner].Rack
-}
-
 // observeEnds takes the runs of the attempts that an entry is about to end well.
 func (s *Server) observeEnds(command *state.Command) {
 	if s.leader == nil || command.ReportEnds == nil {
@@ -169,7 +164,7 @@
 			Queue:      j.Terms.Queue,
 			Estimate:   lease.ExpectedRun,
 			Duration:   max(command.At, s.state.Now).Since(lease.OpenedAt),
-			Distant:    s.distant(lease),
+			Distant:    s.state.Distant(lease),
 			RunnerRate: s.workRate(lease.Runner),
 		})
 	}
--- a/internal/state/placement.go
+++ b/internal/state/placement.go
@@ -130,13 +130,18 @@
 		}
 		s.jobIndex.clearDisplaced(j, task)
 		s.openLease(lease)
-		preferred := j.Spec.Steps[ref.Step].PreferredRack
-		j.timeOpened(lease, preferred != "" && preferred != s.Runners[lease.Runner].Rack)
+		j.timeOpened(lease, s.Distant(lease))
 		s.setTaskState(j, ref, Placed)
 	}
 	s.jobIndex.update(j, s.Now)
 }
 
+// Distant tells whether an attempt runs away from the data of its step.
+func (s *Store) Distant(lease *Lease) bool {
+	preferred := s.Jobs[lease.Task.Job].Spec.Steps[lease.Task.Step].PreferredRack
+	return preferred != "" && preferred != s.Runners[lease.Runner].Rack
+}
+
 // nextGangAttempt is the number that the next attempts of all the tasks can share.
 func (j *Job) nextGangAttempt(step int, nums []int) uint64 {
 	var next uint64
