--- a/internal/scheduler/deferral_test.go
+++ b/internal/scheduler/deferral_test.go
@@ -6,7 +6,6 @@
 	"orchidward/internal/api/identifier"
 	"orchidward/internal/api/job"
 	"orchidward/internal/clock"
-	"orchidward/internal/prediction"
 	"orchidward/internal/scheduler/policy"
 	"orchidward/internal/state"
 )
@@ -14,10 +13,7 @@
 // deferralView is a view in which all runners are alike, runs go on for remaining and tasks
 // have been deferred for deferredFor.
 func deferralView(remaining, deferredFor clock.Millis) RunnerView {
-	view := newView(
-		func(identifier.Runner) bool { return true },
-		func(identifier.Runner) int64 { return prediction.NominalRate },
-	)
+	view := newSoundView()
 	view.Remaining = func(*state.Lease) (clock.Millis, bool) { return remaining, true }
 	view.DeferredFor = func(identifier.TaskRef) clock.Millis { return deferredFor }
 	return view
--- a/internal/scheduler/fixture_test.go
+++ b/internal/scheduler/fixture_test.go
@@ -110,14 +110,19 @@
 func cores(count int64) job.Demand { return job.Demand{Cores: count} }
 
 // scheduleOnce runs a cycle in which every runner may be given tasks.
-func scheduleOnce(store *state.Store) Plan {
-	return scheduleOn(store, func(identifier.Runner) bool { return true })
-}
+func scheduleOnce(store *state.Store) Plan { return Schedule(store, newSoundView(), policy.NewCache()) }
 
 // scheduleOn runs a cycle in which all runners work at the nominal rate.
 func scheduleOn(store *state.Store, fresh func(r identifier.Runner) bool) Plan {
-	workRate := func(identifier.Runner) int64 { return prediction.NominalRate }
-	return Schedule(store, newView(fresh, workRate), policy.NewCache())
+	return Schedule(store, newView(fresh, nominalRate), policy.NewCache())
+}
+
+func nominalRate(identifier.Runner) int64 { return prediction.NominalRate }
+
+// newSoundView is a view in which every runner may be given tasks and works at the nominal
+// rate.
+func newSoundView() RunnerView {
+	return newView(func(identifier.Runner) bool { return true }, nominalRate)
 }
 
 // newView is a view in which nothing is known of when runs end.
--- a/internal/scheduler/headroom_test.go
+++ b/internal/scheduler/headroom_test.go
@@ -3,10 +3,8 @@
 import (
 	"testing"
 
-	"orchidward/internal/api/identifier"
 	"orchidward/internal/api/job"
 	"orchidward/internal/clock"
-	"orchidward/internal/prediction"
 	"orchidward/internal/scheduler/policy"
 	"orchidward/internal/state"
 )
@@ -16,10 +14,7 @@
 func TestHeadroomForUrgentWork(t *testing.T) {
 	store := newQueueStore(t, 5)
 	history := NewUsageHistory()
-	view := newView(
-		func(identifier.Runner) bool { return true },
-		func(identifier.Runner) int64 { return prediction.NominalRate },
-	)
+	view := newSoundView()
 	view.Usage = history
 	step := func(tasks int64) job.Step {
 		return job.Step{Tasks: tasks, Demand: job.Demand{MilliCores: 2000, Mem: 1}}
@@ -55,10 +50,7 @@
 func TestHeadroomNeedsPressure(t *testing.T) {
 	store := newQueueStore(t, 5)
 	history := NewUsageHistory()
-	view := newView(
-		func(identifier.Runner) bool { return true },
-		func(identifier.Runner) int64 { return prediction.NominalRate },
-	)
+	view := newSoundView()
 	view.Usage = history
 	submitToQueue(t, store, "urgent", "q0", 10, job.Step{Tasks: 5, Demand: job.Demand{MilliCores: 8000, Mem: 1}})
 	scheduleAndPlace(t, store)
@@ -84,10 +76,7 @@
 func testNothingHeldBack(t *testing.T, urgentRun clock.Millis, wide job.Step) {
 	t.Helper()
 	store := newQueueStore(t, 5)
-	view := newView(
-		func(identifier.Runner) bool { return true },
-		func(identifier.Runner) int64 { return prediction.NominalRate },
-	)
+	view := newSoundView()
 	urgent := job.Step{Tasks: 4, Demand: job.Demand{MilliCores: 2000, Mem: 1}, ExpectedRun: urgentRun}
 	submitToQueue(t, store, "urgent", "q0", 10, urgent)
 	scheduleAndPlace(t, store)
@@ -106,10 +95,7 @@
 // not hold a service back.
 func TestServiceBesideHeldBackWork(t *testing.T) {
 	store := newQueueStore(t, 5)
-	view := newView(
-		func(identifier.Runner) bool { return true },
-		func(identifier.Runner) int64 { return prediction.NominalRate },
-	)
+	view := newSoundView()
 	demand := job.Demand{MilliCores: 2000, Mem: 1}
 	submitToQueue(t, store, "urgent", "q0", 10, job.Step{Tasks: 4, Demand: demand})
 	scheduleAndPlace(t, store)
--- a/internal/scheduler/job_order_test.go
+++ b/internal/scheduler/job_order_test.go
@@ -7,7 +7,6 @@
 	"orchidward/internal/api/identifier"
 	"orchidward/internal/api/job"
 	"orchidward/internal/clock"
-	"orchidward/internal/prediction"
 	"orchidward/internal/scheduler/policy"
 )
 
@@ -15,10 +14,7 @@
 // when it is due, and whether it can be done by then, is reckoned from the predicted run.
 func TestOrderByPredictedRuns(t *testing.T) {
 	store := newQueueStore(t, 1)
-	view := newView(
-		func(identifier.Runner) bool { return true },
-		func(identifier.Runner) int64 { return prediction.NominalRate },
-	)
+	view := newSoundView()
 	// Whatever is estimated, tasks run for a second.
 	view.Predict = func(string, clock.Millis) PredictedRun { return PredictedRun{Run: 1000} }
 	step := job.Step{Tasks: 1, Demand: job.Demand{MilliCores: 8000, Mem: 1}}
