--- a/internal/invariants/rules.go
+++ b/internal/invariants/rules.go
@@ -41,8 +41,9 @@
 // Limits in milliseconds: what may still happen, and for how long.
 const (
 	// MaxCancelledRun is how long a cancelled task may run on whatever else fails: a
-	// runner out of reach ends it by its own clock when its lease lapses.
-	MaxCancelledRun = 10500
+	// runner out of reach ends it by its own clock when its lease of 10 s lapses, at 2%
+	// of drift and within the time between two sweeps.
+	MaxCancelledRun = 10300
 	// MaxIncompleteGang is how long a gang may run incomplete whatever else fails:
 	// seven tenths of a lease since a member last heard that the others run, a poll
 	// and a half by which that may have been late, and the time between two sweeps.
--- a/tests/mutation/operators.go
+++ b/tests/mutation/operators.go
@@ -1,5 +1,7 @@
 package main
 
+import "orchidward/tests/sourceedit"
+
 // operatorMutations break how operators' changes of limits and the catalogue are taken.
 var operatorMutations = []mutation{
 	{
@@ -106,4 +108,34 @@
 		tests:       test("./platform", "TestIncompleteRequestRefused"),
 		want:        "done 1 times, want 0",
 	},
+	{
+		name:        "gateway keeps its first catalogue",
+		file:        "internal/gateway/routing_copy.go",
+		original:    "	if !changed {\n		return\n	}",
+		replacement: "	if !changed || g.routing.routeMap != nil {\n		return\n	}",
+		also: []sourceedit.Edit{
+			{File: "internal/gateway/gateway.go", Original: "return g.routing.behind(g.now)", Replacement: "return false"},
+		},
+		tests: test("./tests/simulation/register", "TestCatalogInForce"),
+		want:  "says that there is no queue of version",
+	},
+	{
+		name:        "jobs for a dropped queue are accepted",
+		file:        "internal/state/queue_jobs.go",
+		original:    "	queue := s.Catalog.Queue(command.Spec.Queue)",
+		replacement: "	queue := &catalog.Queue{Name: command.Spec.Queue, Pool: \"x\"}",
+		also: []sourceedit.Edit{
+			{File: "internal/controlplane/requests.go", Original: "case r.Epoch != 0 && r.Epoch != s.state.Limits.Epoch:", Replacement: "case r.Method == \"\":"},
+		},
+		tests: test("./tests/simulation/register", "TestCatalogInForce"),
+		want:  "goes back to version",
+	},
+	{
+		name:        "catalogue acknowledged on the disk that is lost",
+		file:        "internal/consensus/raft/replication.go",
+		original:    "quorumMatch := matches[r.voterCount()/2]",
+		replacement: "quorumMatch := matches[0]",
+		tests:       test("./tests/simulation/register", "TestCatalogInForce"),
+		want:        "contradicts the log, which is committed",
+	},
 }
--- /dev/null
+++ b/tests/simulation/agent_runner.go
@@ -0,0 +1,278 @@
+package simulation
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"orchidward/internal/agent"
+	"orchidward/internal/api/identifier"
+	"orchidward/internal/api/job"
+	"orchidward/internal/api/runnerapi"
+	"orchidward/internal/clock"
+)
+
+// AgentRunner is a runner of another protocol. It sends heartbeats to its agent, obeys
+// the answers, and ends whatever it runs once its lease has lapsed. A member of a gang
+// waits until all others have started, and ends when one of them ends without success.
+type AgentRunner struct {
+	*Process
+	Agent    *Agent
+	Capacity job.Demand
+
+	cluster *Cluster
+	rack    identifier.Rack
+	runs    []*AgentRun
+	// ends are those that the control plane has not acknowledged.
+	ends       []runnerapi.RunEnd
+	lastEndSeq uint64
+	// settled is the highest attempt of each task that has ended or was stopped here.
+	settled map[identifier.TaskRef]uint64
+	fence   uint64
+
+	heartbeatSeq uint64
+	// awaited is the heartbeat that has no answer yet, 0 for none, and sentAt when the
+	// last one was sent.
+	awaited       uint64
+	sentAt        clock.Monotonic
+	nextHeartbeat clock.Monotonic
+	leaseEnd      clock.Monotonic
+}
+
+// AgentRun is an attempt on such a runner.
+type AgentRun struct {
+	runnerapi.Start
+	startedAt clock.Monotonic
+	// workingSince is when the work began, 0 while a gang waits for its members.
+	workingSince clock.Monotonic
+	// stopAt is when it ends after a stop, 0 without one.
+	stopAt clock.Monotonic
+}
+
+// What a runner of another protocol takes its time for, in ms.
+const (
+	agentRunnerTick     clock.Millis = 10
+	agentAnswerTimeout  clock.Millis = 1000
+	agentStopDelay      clock.Millis = 150
+	agentEndReportDelay clock.Millis = 50
+	agentRetryDelay     clock.Millis = 100
+	maxGangWait         clock.Millis = 3000
+)
+
+// completePercent is the progress of work that is done.
+const completePercent = 100
+
+// occurrenceSeparator stands between a job and the number of its occurrence, and
+// firstOccurrence is how the name of a job that does not repeat ends.
+const (
+	occurrenceSeparator = "."
+	firstOccurrence     = ".0"
+)
+
+// Start starts the runner as a new incarnation that runs nothing.
+func (r *AgentRunner) Start() {
+	r.begin(r.cluster.Now)
+	r.runs, r.ends = nil, nil
+	r.settled = map[identifier.TaskRef]uint64{}
+	r.lastEndSeq, r.heartbeatSeq, r.awaited, r.fence = 0, 0, 0, 0
+	r.sentAt, r.nextHeartbeat, r.leaseEnd = 0, 0, 0
+	r.cluster.tickWhileUp(r.Process, agentRunnerTick, r.tick)
+}
+
+// repair starts what is down and wakes what is frozen, on the whole machine.
+func (a *Agent) repair() {
+	a.cluster.Resume(a.Process)
+	a.cluster.Resume(a.Runner.Process)
+	if !a.Up {
+		a.Start()
+	}
+	if !a.Runner.Up {
+		a.Runner.Start()
+	}
+}
+
+// Crash ends the runner at once, and all that runs on it.
+func (r *AgentRunner) Crash() {
+	r.cluster.Kill(r.Process)
+	r.runs = nil
+}
+
+// Runs are the attempts that run at the moment.
+func (r *AgentRunner) Runs() []*AgentRun { return r.runs }
+
+func (r *AgentRunner) now() clock.Monotonic { return r.cluster.Monotonic(r.Process) }
+
+func (r *AgentRunner) tick() {
+	r.endRuns()
+	now := r.now()
+	if r.awaited != 0 && now.Since(r.sentAt) > agentAnswerTimeout {
+		r.awaited = 0
+		r.nextHeartbeat = now.Add(agentRetryDelay)
+	}
+	if r.awaited == 0 && now >= r.nextHeartbeat {
+		r.sendHeartbeat()
+	}
+}
+
+// endRuns ends the attempts whose end has come.
+func (r *AgentRunner) endRuns() {
+	now := r.now()
+	running := r.runs[:0:0]
+	for _, run := range r.runs {
+		outcome := r.outcome(run, now)
+		if outcome == "" {
+			running = append(running, run)
+			continue
+		}
+		r.reportEnd(run.Task, run.Attempt, outcome)
+		r.cluster.AgentRuns.ended(r, run, outcome)
+	}
+	r.runs = running
+}
+
+// outcome is how an attempt ends now, empty while it runs.
+func (r *AgentRunner) outcome(run *AgentRun, now clock.Monotonic) string {
+	step := r.cluster.AgentRuns.step(run.Task)
+	switch {
+	case now > r.leaseEnd:
+		return runnerapi.OutcomeLeaseLapsed
+	case run.stopAt > 0 && now >= run.stopAt:
+		return runnerapi.OutcomeStopped
+	case step.Gang && r.cluster.AgentRuns.broken(run):
+		return runnerapi.OutcomeGangBroken
+	case run.workingSince == 0 && step.Gang && !r.cluster.AgentRuns.assembled(run, step):
+		if now.Since(run.startedAt) > maxGangWait {
+			return runnerapi.OutcomeGangIncomplete
+		}
+		return ""
+	case run.workingSince == 0:
+		run.workingSince = now
+	case now.Since(run.workingSince) >= run.ExpectedRun:
+		return runnerapi.OutcomeSuccess
+	}
+	return ""
+}
+
+func (r *AgentRunner) reportEnd(task identifier.TaskRef, attempt uint64, outcome string) {
+	r.lastEndSeq++
+	r.ends = append(r.ends, runnerapi.RunEnd{Seq: r.lastEndSeq, Task: task, Attempt: attempt, Outcome: outcome})
+	r.settled[task] = max(r.settled[task], attempt)
+	r.nextHeartbeat = min(r.nextHeartbeat, r.now().Add(agentEndReportDelay))
+}
+
+func (r *AgentRunner) sendHeartbeat() {
+	r.heartbeatSeq++
+	r.awaited = r.heartbeatSeq
+	r.sentAt = r.now()
+	heartbeat := r.heartbeat()
+	r.cluster.transmit(r.Process, r.Agent.Process, func() { r.Agent.handleHeartbeat(heartbeat) })
+}
+
+func (r *AgentRunner) heartbeat() agent.Heartbeat {
+	heartbeat := agent.Heartbeat{
+		Runner:   identifier.Incarnation(fmt.Sprintf("%s-%d", r.Name, r.Incarnation)),
+		Seq:      r.heartbeatSeq,
+		Pool:     AgentPool,
+		Domain:   identifier.Domain(r.Domain),
+		Rack:     r.rack,
+		Capacity: r.Capacity,
+		Finished: slices.Clone(r.ends),
+	}
+	for _, run := range r.runs {
+		heartbeat.Active = append(heartbeat.Active, runnerapi.RunState{Task: run.Task, Attempt: run.Attempt, ProgressPercent: run.percent(r.now())})
+	}
+	return heartbeat
+}
+
+// percent is how much of its work an attempt has done.
+func (run *AgentRun) percent(now clock.Monotonic) int64 {
+	if run.workingSince == 0 {
+		return 0
+	}
+	return min(completePercent, int64(now.Since(run.workingSince)*completePercent/max(1, run.ExpectedRun)))
+}
+
+// handleOrders obeys the answer to a heartbeat, unless the answer is late or comes from a
+// process that another has replaced.
+func (r *AgentRunner) handleOrders(seq uint64, orders agent.Orders) {
+	now := r.now()
+	if seq != r.awaited || now.Since(r.sentAt) > agentAnswerTimeout {
+		return
+	}
+	r.awaited = 0
+	r.nextHeartbeat = r.sentAt.Add(orders.NextHeartbeat)
+	r.endRuns()
+	if orders.FencingToken < r.fence {
+		return
+	}
+	r.fence = orders.FencingToken
+	r.forgetObservedEnds(orders.ObservedThrough)
+	for _, stop := range orders.Stop {
+		r.stop(withOccurrence(stop.Task), stop.Attempt)
+	}
+	if orders.Lease == 0 {
+		return
+	}
+	r.leaseEnd = max(r.leaseEnd, r.sentAt.Add(orders.Lease))
+	for _, start := range orders.Start {
+		start.Task = withOccurrence(start.Task)
+		r.startRun(start)
+	}
+}
+
+// forgetObservedEnds drops the ends that the control plane has acknowledged.
+func (r *AgentRunner) forgetObservedEnds(observedThrough uint64) {
+	unobserved := r.ends[:0:0]
+	for _, end := range r.ends {
+		if end.Seq > observedThrough {
+			unobserved = append(unobserved, end)
+			continue
+		}
+		r.cluster.AgentRuns.observed(end)
+	}
+	r.ends = unobserved
+}
+
+// Adopt makes the runner run an attempt that it was not told to start, as one does that
+// was started by a control plane of before.
+func (r *AgentRunner) Adopt(start runnerapi.Start) {
+	r.runs = append(r.runs, &AgentRun{Start: start, startedAt: r.now()})
+}
+
+// holds tells whether what runs here may still run: the runner is up and its lease has
+// not lapsed.
+func (r *AgentRunner) holds() bool { return r.Up && r.now() <= r.leaseEnd }
+
+// withOccurrence is a task as runners name it, always with the occurrence of its job.
+func withOccurrence(task identifier.TaskRef) identifier.TaskRef {
+	if !strings.Contains(string(task.Job), occurrenceSeparator) {
+		task.Job += firstOccurrence
+	}
+	return task
+}
+
+func (r *AgentRunner) stop(task identifier.TaskRef, attempt uint64) {
+	r.settled[task] = max(r.settled[task], attempt)
+	for _, run := range r.runs {
+		if run.Task == task && run.Attempt <= attempt && run.stopAt == 0 {
+			run.stopAt = r.now().Add(agentStopDelay)
+		}
+	}
+}
+
+// startRun starts an attempt, unless it runs already; one that is not above what has
+// ended or was stopped here is rejected.
+func (r *AgentRunner) startRun(start runnerapi.Start) {
+	for _, run := range r.runs {
+		if run.Task == start.Task && run.Attempt == start.Attempt {
+			return
+		}
+	}
+	if start.Attempt <= r.settled[start.Task] {
+		r.reportEnd(start.Task, start.Attempt, runnerapi.OutcomeRejected)
+		return
+	}
+	run := &AgentRun{Start: start, startedAt: r.now()}
+	r.cluster.AgentRuns.started(r, run)
+	r.runs = append(r.runs, run)
+}
--- /dev/null
+++ b/tests/simulation/agent_runs.go
@@ -0,0 +1,188 @@
+package simulation
+
+import (
+	"strings"
+
+	"orchidward/internal/api/identifier"
+	"orchidward/internal/api/job"
+	"orchidward/internal/api/runnerapi"
+	"orchidward/internal/invariants"
+)
+
+// Unasked is the invariant that runners are told to start only what a client submitted,
+// with the text that the client gave it.
+const Unasked = "unasked"
+
+// AgentRuns checks what runners of another protocol do, from outside: it knows what
+// clients submitted and what each runner runs.
+type AgentRuns struct {
+	// Starts counts the attempts that started, Ends those that ended, by outcome.
+	Starts int
+	Ends   map[string]int
+	// LastFailure is when a member of a gang last ended without success on each runner.
+	LastFailure map[*AgentRunner]int64
+
+	cluster *Cluster
+	jobs    map[identifier.JobKey]*agentJob
+	// succeeded are the tasks whose success the control plane acknowledged.
+	succeeded map[identifier.TaskRef]bool
+	// brokenGangs are the attempts of gangs of which a member ended without success.
+	brokenGangs map[gangAttempt]bool
+}
+
+// agentJob is what clients know of a job for such runners. cancelledAt is 0 for never.
+type agentJob struct {
+	payload     string
+	steps       []job.Step
+	cancelledAt int64
+}
+
+// gangAttempt names one attempt of a gang.
+type gangAttempt struct {
+	job     identifier.JobKey
+	step    int
+	attempt uint64
+}
+
+func newAgentRuns(c *Cluster) *AgentRuns {
+	return &AgentRuns{
+		Ends:        map[string]int{},
+		LastFailure: map[*AgentRunner]int64{},
+		cluster:     c,
+		jobs:        map[identifier.JobKey]*agentJob{},
+		succeeded:   map[identifier.TaskRef]bool{},
+		brokenGangs: map[gangAttempt]bool{},
+	}
+}
+
+// Submitted records that a client sends a job with this text for the first time.
+func (a *AgentRuns) Submitted(key identifier.JobKey, payload string, steps []job.Step) {
+	a.jobs[key] = &agentJob{payload: payload, steps: steps}
+}
+
+// Cancelled records that the cancel of a job was acknowledged.
+func (a *AgentRuns) Cancelled(key identifier.JobKey) {
+	a.jobs[key].cancelledAt = a.cluster.Now
+}
+
+// Succeeded counts the tasks of a job whose success was acknowledged to their runners.
+func (a *AgentRuns) Succeeded(key identifier.JobKey) (count int) {
+	for task := range a.succeeded {
+		if jobOf(task) == key {
+			count++
+		}
+	}
+	return count
+}
+
+// jobOf is the job of a task that a runner names with an occurrence.
+func jobOf(task identifier.TaskRef) identifier.JobKey {
+	key, _, _ := strings.Cut(string(task.Job), occurrenceSeparator)
+	return identifier.JobKey(key)
+}
+
+// step is the step of a task, empty for a task that nobody submitted.
+func (a *AgentRuns) step(task identifier.TaskRef) job.Step {
+	j := a.jobs[jobOf(task)]
+	if j == nil || task.Step >= len(j.steps) {
+		return job.Step{}
+	}
+	return j.steps[task.Step]
+}
+
+func gangOf(run *AgentRun) gangAttempt {
+	return gangAttempt{run.Task.Job, run.Task.Step, run.Attempt}
+}
+
+// running lists the attempts on live runners that a condition holds for.
+func (a *AgentRuns) running(matches func(run *AgentRun) bool) (list []*AgentRun) {
+	for _, one := range a.cluster.Agents {
+		if !one.Runner.holds() {
+			continue
+		}
+		for _, run := range one.Runner.runs {
+			if matches(run) {
+				list = append(list, run)
+			}
+		}
+	}
+	return list
+}
+
+// assembled tells whether all members of an attempt's gang run.
+func (a *AgentRuns) assembled(run *AgentRun, step job.Step) bool {
+	members := a.running(func(other *AgentRun) bool { return gangOf(other) == gangOf(run) })
+	return int64(len(members)) >= step.Tasks
+}
+
+// broken tells whether a member of an attempt's gang ended without success.
+func (a *AgentRuns) broken(run *AgentRun) bool { return a.brokenGangs[gangOf(run)] }
+
+// started checks every rule that a start can violate.
+func (a *AgentRuns) started(r *AgentRunner, run *AgentRun) {
+	a.Starts++
+	a.cluster.Logf("%s start %s attempt %d", r.Name, run.Task, run.Attempt)
+	a.checkAsked(r, run)
+	if a.succeeded[run.Task] {
+		a.violate(invariants.RunsOnce, "%s starts %s whose success was acknowledged", r.Name, run.Task)
+	}
+	if others := a.running(func(other *AgentRun) bool { return other.Task == run.Task }); len(others) > 0 {
+		a.violate(invariants.RunsOnce, "%s starts %s which runs", r.Name, run.Task)
+	}
+	used := run.Demand
+	for _, other := range r.runs {
+		used = used.Plus(other.Demand)
+	}
+	if !used.Fits(r.Capacity) {
+		a.violate(invariants.PlacementFits, "%s starts %s: %+v of %+v", r.Name, run.Task, used, r.Capacity)
+	}
+	mixed := a.running(func(other *AgentRun) bool {
+		return a.step(run.Task).Gang && other.Task.Job == run.Task.Job && other.Task.Step == run.Task.Step && other.Attempt > run.Attempt
+	})
+	if len(mixed) > 0 {
+		a.violate(invariants.GangRunsTogether, "%s starts %s attempt %d beside a later one", r.Name, run.Task, run.Attempt)
+	}
+}
+
+// checkAsked finds a start of what no client submitted, or of another text.
+func (a *AgentRuns) checkAsked(r *AgentRunner, run *AgentRun) {
+	j := a.jobs[jobOf(run.Task)]
+	if j == nil || run.Task.Step >= len(j.steps) || int64(run.Task.Num) >= j.steps[run.Task.Step].Tasks {
+		a.violate(Unasked, "%s starts %s which nobody submitted", r.Name, run.Task)
+		return
+	}
+	if run.Payload != j.payload {
+		a.violate(Unasked, "%s starts %s with the text %q, not %q", r.Name, run.Task, run.Payload, j.payload)
+	}
+	if j.cancelledAt > 0 && a.cluster.Now > j.cancelledAt+maxAgentStartAfterCancel {
+		a.violate(Unasked, "%s starts %s %d ms after its cancel", r.Name, run.Task, a.cluster.Now-j.cancelledAt)
+	}
+}
+
+// maxAgentStartAfterCancel is how long after its job's cancel a task may start, in ms.
+const maxAgentStartAfterCancel = 3000
+
+func (a *AgentRuns) ended(r *AgentRunner, run *AgentRun, outcome string) {
+	a.Ends[outcome]++
+	a.cluster.Logf("%s end %s attempt %d %s", r.Name, run.Task, run.Attempt, outcome)
+	if outcome == runnerapi.OutcomeSuccess || !a.step(run.Task).Gang {
+		return
+	}
+	a.brokenGangs[gangOf(run)] = true
+	a.LastFailure[r] = a.cluster.Now
+	undisturbed := a.cluster.Undisturbed() && a.jobs[jobOf(run.Task)].cancelledAt == 0
+	if outcome == runnerapi.OutcomeGangIncomplete && undisturbed {
+		a.violate(invariants.GangRunsTogether, "%s waited in vain for the gang of %s", r.Name, run.Task)
+	}
+}
+
+// observed records that the control plane acknowledged an end.
+func (a *AgentRuns) observed(end runnerapi.RunEnd) {
+	if end.Outcome == runnerapi.OutcomeSuccess {
+		a.succeeded[end.Task] = true
+	}
+}
+
+func (a *AgentRuns) violate(invariant, text string, args ...any) {
+	a.cluster.Checker.Violate(invariant, text, args...)
+}
--- a/tests/simulation/cluster.go
+++ b/tests/simulation/cluster.go
@@ -18,6 +18,10 @@
 	Servers  []*Server
 	Gateways []*Gateway
 	Runners  []*Runner
+	// Agents speak for runners of another protocol; a cluster has none unless
+	// AddAgents is called.
+	Agents    []*Agent
+	AgentRuns *AgentRuns
 	// Seeds are the addresses that processes know when they start.
 	Seeds   []string
 	Clients *Clients
@@ -80,6 +84,7 @@
 		drainOrders: map[string]int{},
 	}
 	c.Checker = invariants.New(c)
+	c.AgentRuns = newAgentRuns(c)
 	c.addProcesses()
 	c.Clients = newClients(c)
 	for _, server := range c.Servers {
--- a/tests/simulation/http.go
+++ b/tests/simulation/http.go
@@ -1,6 +1,8 @@
 package simulation
 
 import (
+	"net/http"
+
 	"orchidward/internal/clock"
 	"orchidward/internal/gateway"
 )
@@ -39,3 +41,38 @@
 		}
 	}
 }
+
+// QueueRequest is what a gateway asks of the control plane for a request from outside,
+// once it has found the request's queue.
+type QueueRequest func(queue string) (method, path string, body []byte)
+
+// RequestQueue sends a request by host and path to a gateway, which finds the queue that
+// it is for. done is called once with the status, NoResponse when nothing came within
+// the timeout in ms: 404 where the gateway knows that there is no such queue, 503 where
+// it cannot know.
+func (c *Cluster) RequestQueue(from *Process, to *Gateway, host, path string, timeout int64, translate QueueRequest, done func(status int)) {
+	over := false
+	finish := func(status int) {
+		if !over {
+			over = true
+			done(status)
+		}
+	}
+	c.post(from, timeout, func() { finish(NoResponse) })
+	respond := func(status int, _ []byte) {
+		c.transmit(to.Process, from, func() { finish(status) })
+	}
+	c.transmit(from, to.Process, func() {
+		queue, _, found := to.Machine.Queue(host, path)
+		ready := to.Machine.Ready(c.Monotonic(to.Process)) && to.Machine.CatalogVersion() > 0
+		switch {
+		case !ready || !found && to.Machine.Behind():
+			respond(http.StatusServiceUnavailable, nil)
+		case !found:
+			respond(http.StatusNotFound, nil)
+		default:
+			method, target, body := translate(queue)
+			to.handleRequest(gateway.Request{Method: method, Path: target, Body: body, Budget: clock.Millis(timeout)}, respond)
+		}
+	})
+}
--- a/tests/simulation/network.go
+++ b/tests/simulation/network.go
@@ -190,4 +190,11 @@
 			return
 		}
 	}
+	for _, one := range c.Agents {
+		if one.Process == to {
+			one.Machine.HandleMessage(from, message, c.Monotonic(to))
+			one.flush()
+			return
+		}
+	}
 }
--- a/tests/simulation/scenario.go
+++ b/tests/simulation/scenario.go
@@ -109,6 +109,9 @@
 	for _, runner := range c.Runners {
 		runner.repair()
 	}
+	for _, one := range c.Agents {
+		one.repair()
+	}
 	for _, domain := range Domains {
 		c.Clients.SetDrained(domain, false, c.newDrainOrder(domain))
 	}
--- /dev/null
+++ b/tests/simulation/scenarios/cancel_lease_test.go
@@ -0,0 +1,79 @@
+package scenarios
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"orchidward/internal/api/endpoint"
+	"orchidward/internal/api/identifier"
+	"orchidward/internal/api/job"
+	"orchidward/internal/invariants"
+	"orchidward/tests/simulation"
+	"orchidward/tests/simulation/simulationtest"
+)
+
+const (
+	// busyFrom is when the runner gets its work, cutOffAt when it is cut off, in ms.
+	busyFrom = 5000
+	cutOffAt = 8000
+	// pollGap is the time between two short jobs, each of which has a poll answered.
+	pollGap = 40
+	// leastRunOn is how long the cancelled task runs on at least in this scene: nearly a
+	// lease, or the scene shows nothing.
+	leastRunOn = 9800
+	sweepGap   = 10
+)
+
+// submitOneTask submits a job of one task that runs for so many ms.
+func submitOneTask(cluster *simulation.Cluster, id string, ms int64) identifier.JobKey {
+	key := identifier.NewJobKey("c", identifier.JobID(id))
+	step := job.Step{Name: "s", Tasks: 1, MaxDefects: 1, Demand: job.Demand{Cores: 1, Mem: 1}}
+	cluster.Checker.Jobs[key] = &invariants.Job{Spec: job.Spec{Steps: []job.Step{step}}, AckedAt: cluster.Now}
+	body := fmt.Sprintf(`{"pending":"default","steps":[{"name":"s","cores":1,"memMb":1,"spanMs":%d}]}`, ms)
+	cluster.Request(cluster.Clients.Process, cluster.Clients.RandomGateway(), http.MethodPut, endpoint.JobPath(key), []byte(body), 1000, func(int, []byte) {})
+	return key
+}
+
+// TestCancelledRunEndsWithLease cuts a runner off right after one of its polls was
+// answered, and cancels a task that runs there. No stop can reach it: it ends with the
+// runner's lease, which began with that poll, and not a moment later.
+func TestCancelledRunEndsWithLease(t *testing.T) {
+	t.Parallel()
+	spec := simulation.FastNetwork()
+	spec.Runners = 1
+	spec.DefectPercent = 0
+	var longest int64
+	for seed := int64(1); seed <= 4; seed++ {
+		cluster := simulation.NewCluster(seed, spec)
+		var key identifier.JobKey
+		cluster.At(busyFrom, func() { key = submitOneTask(cluster, "long", 60000) })
+		for i := range (cutOffAt - busyFrom) / pollGap {
+			cluster.At(busyFrom+int64(i)*pollGap, func() { submitOneTask(cluster, fmt.Sprintf("j%d", i), 20) })
+		}
+		cluster.At(cutOffAt, func() {
+			cluster.Isolate(cluster.Runners[0].Process, true, true)
+			cluster.Request(cluster.Clients.Process, cluster.Gateways[0].Addr, http.MethodDelete, endpoint.JobPath(key), nil, 1000, func(status int, _ []byte) {
+				if status != http.StatusOK {
+					t.Errorf("seed %d: the cancel is answered %d", seed, status)
+				}
+				cluster.Checker.Jobs[key].CancelSent = true
+				cluster.Checker.Jobs[key].CancelledAt = cluster.Now
+			})
+		})
+		cluster.Poll(sweepGap, func() (again bool) {
+			cluster.Checker.Sweep()
+			submitted := cluster.Checker.Jobs[key]
+			if submitted != nil && submitted.CancelledAt > 0 && cluster.Runners[0].Machine.Running() > 0 {
+				longest = max(longest, cluster.Now-submitted.CancelledAt)
+			}
+			return true
+		})
+		cluster.Run(cutOffAt + 12000)
+		simulationtest.CheckInvariants(t, seed, cluster)
+	}
+	t.Logf("the cancelled task ran on for %d ms at most", longest)
+	if longest < leastRunOn {
+		t.Errorf("the cancelled task ran on for %d ms, which shows nothing of the lease", longest)
+	}
+}
