Scenes: drains by way of agents, of a zone not yet seen; faults between items of a catalogue

Cause: the table of the platform's rules left these out. Change: TestDrainWithAgents drains a domain under load around the loss of a leader or an agent, TestDrainOfUnseenDomain one from which no runner has reported; the row of invalid configurations has its mutations. Three mutations, each noticed.

--- a/tests/mutation/operators.go
+++ b/tests/mutation/operators.go
@@ -138,4 +138,28 @@
 		tests:       test("./tests/simulation/register", "TestCatalogInForce"),
 		want:        "contradicts the log, which is committed",
 	},
+	{
+		name:        "zone without runners is not cordoned",
+		file:        "internal/state/drain_requests.go",
+		original:    "	drain := s.createDrain(command.ID, KindDomain, command.Domain, \"\")",
+		replacement: "	if !s.domainKnown(command.Domain) {\n		return accepted(http.StatusOK, nil)\n	}\n	drain := s.createDrain(command.ID, KindDomain, command.Domain, \"\")",
+		tests:       test("./tests/simulation/agents", "TestDrainOfUnseenDomain"),
+		want:        "P2 at",
+	},
+	{
+		name:        "text after a configuration is taken",
+		file:        "internal/api/catalog/change.go",
+		original:    "if _, err := d.Token(); err != io.EOF {",
+		replacement: "if _, err := d.Token(); err == io.ErrUnexpectedEOF {",
+		tests:       test("./internal/api/catalog", "TestReadWholeRejects"),
+		want:        "data after passed",
+	},
+	{
+		name:        "queue of a pool that is not there is taken",
+		file:        "internal/api/catalog/merge.go",
+		original:    "case !pools[q.Pool]:",
+		replacement: "case q.Pool == \"\":",
+		tests:       test("./tests/simulation/register", "TestRegisterHistories"),
+		want:        "no register answers so",
+	},
 }
--- a/tests/simulation/agent.go
+++ b/tests/simulation/agent.go
@@ -42,24 +42,31 @@
 // spread over the domains, and know the first servers.
 func (c *Cluster) AddAgents(count int, capacity job.Demand) {
 	for i := range count {
-		domain := Domains[i%len(Domains)]
-		a := &Agent{
-			Process: c.addProcess(fmt.Sprintf("a%d", i+1), domain),
-			cluster: c,
-		}
-		a.Runner = &AgentRunner{
-			Process:  c.addProcess(fmt.Sprintf("f%d", i+1), domain),
-			Agent:    a,
-			Capacity: capacity,
-			rack:     identifier.Rack(fmt.Sprintf("%s-%d", domain, i/(len(Domains)*agentsPerRack))),
-			cluster:  c,
-		}
-		c.Agents = append(c.Agents, a)
-		c.After(c.Random.Int63n(maxRunnerStart), a.Start)
-		c.After(c.Random.Int63n(maxRunnerStart), a.Runner.Start)
+		c.AddAgentIn(Domains[i%len(Domains)], capacity)
 	}
 }
 
+// AddAgentIn adds one agent in a domain, with a runner of this capacity, and starts both.
+func (c *Cluster) AddAgentIn(domain string, capacity job.Demand) *Agent {
+	number := len(c.Agents) + 1
+	rack := (number - 1) / (len(Domains) * agentsPerRack)
+	a := &Agent{
+		Process: c.addProcess(fmt.Sprintf("a%d", number), domain),
+		cluster: c,
+	}
+	a.Runner = &AgentRunner{
+		Process:  c.addProcess(fmt.Sprintf("f%d", number), domain),
+		Agent:    a,
+		Capacity: capacity,
+		rack:     identifier.Rack(fmt.Sprintf("%s-%d", domain, rack)),
+		cluster:  c,
+	}
+	c.Agents = append(c.Agents, a)
+	c.After(c.Random.Int63n(maxRunnerStart), a.Start)
+	c.After(c.Random.Int63n(maxRunnerStart), a.Runner.Start)
+	return a
+}
+
 // Start starts the agent's process.
 func (a *Agent) Start() {
 	a.begin(a.cluster.Now)
--- a/tests/simulation/agent_runs.go
+++ b/tests/simulation/agent_runs.go
@@ -129,6 +129,21 @@
 	if others := a.running(func(other *AgentRun) bool { return other.Task == run.Task }); len(others) > 0 {
 		a.violate(invariants.RunsOnce, "%s starts %s which runs", r.Name, run.Task)
 	}
+	a.checkDrain(r, run)
+	a.checkCapacity(r, run)
+	a.checkGangAttempt(r, run)
+}
+
+// checkDrain finds a start in a domain whose drain was acknowledged.
+func (a *AgentRuns) checkDrain(r *AgentRunner, run *AgentRun) {
+	since, drained := a.cluster.Checker.DrainedSince(r.Domain)
+	if drained && a.cluster.Now > since+maxAgentStartAfterDrain {
+		a.violate(invariants.NoStartInDrainedDomain, "%s starts %s %d ms after its domain was drained", r.Name, run.Task, a.cluster.Now-since)
+	}
+}
+
+// checkCapacity finds a start that does not fit.
+func (a *AgentRuns) checkCapacity(r *AgentRunner, run *AgentRun) {
 	used := run.Demand
 	for _, other := range r.runs {
 		used = used.Plus(other.Demand)
@@ -136,6 +151,10 @@
 	if !used.Fits(r.Capacity) {
 		a.violate(invariants.PlacementFits, "%s starts %s: %+v of %+v", r.Name, run.Task, used, r.Capacity)
 	}
+}
+
+// checkGangAttempt finds a start of a gang's member beside one of a later attempt.
+func (a *AgentRuns) checkGangAttempt(r *AgentRunner, run *AgentRun) {
 	mixed := a.running(func(other *AgentRun) bool {
 		return a.step(run.Task).Gang && other.Task.Job == run.Task.Job && other.Task.Step == run.Task.Step && other.Attempt > run.Attempt
 	})
@@ -159,8 +178,12 @@
 	}
 }
 
-// maxAgentStartAfterCancel is how long after its job's cancel a task may start, in ms.
-const maxAgentStartAfterCancel = 3000
+// How long after its job's cancel, and after the drain of its domain, a task may start, in
+// ms.
+const (
+	maxAgentStartAfterCancel = 3000
+	maxAgentStartAfterDrain  = 5000
+)
 
 func (a *AgentRuns) ended(r *AgentRunner, run *AgentRun, outcome string) {
 	a.Ends[outcome]++
