eventloop: a call that its caller gave up in the queue is never carried out

Cause: Await posted its call and let it run after the caller's context had ended, so that an order whose caller had hung up while it waited for the loop was dispatched all the same (Do had always taken such calls back). Ruled out: the wait after the call has begun, where Forget drops the request. Change: Await takes the call back, as Do does. Test: TestAwaitGivenUpBeforeItBegins, which failed before.

--- a/internal/daemon/eventloop/await.go
+++ b/internal/daemon/eventloop/await.go
@@ -15,18 +15,21 @@
 
 // Await starts work on the machine and waits for its result, which may come with a later
 // input: start runs on the loop's goroutine and keeps done, to be called at most once. When
-// the context ends the work goes on, unless the caller has it cancelled. A result from
-// before the loop ended is returned, not ErrStopped.
+// the context ends before start has begun, start never runs; when it ends later the work
+// goes on, unless the caller has it cancelled. A result from before the loop ended is
+// returned, not ErrStopped.
 func Await[M, R any](ctx context.Context, l *Loop[M], start func(m M, done func(R))) (R, error) {
 	var none R
 	results := make(chan R, 1)
-	if !l.Post(func(m M) { start(m, func(result R) { results <- result }) }) {
+	call, ok := l.calls.push(func(m M) { start(m, func(result R) { results <- result }) })
+	if !ok {
 		return none, ErrQueueFull
 	}
 	select {
 	case result := <-results:
 		return result, nil
 	case <-ctx.Done():
+		call.giveUp()
 		return none, ctx.Err()
 	case <-l.Done():
 	}
--- a/internal/daemon/eventloop/await_test.go
+++ b/internal/daemon/eventloop/await_test.go
@@ -65,3 +65,25 @@
 		t.Errorf("a loop that has ended: %v", err)
 	}
 }
+
+// TestAwaitGivenUpBeforeItBegins checks that work never begins whose caller left while it
+// waited for the loop, and that the calls behind it do.
+func TestAwaitGivenUpBeforeItBegins(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	l := New(&counter{}, 16)
+	begun := false
+	left, leave := context.WithCancel(ctx)
+	leave()
+	if _, err := Await(left, l, func(*counter, func(int)) { begun = true }); !errors.Is(err, context.Canceled) {
+		t.Fatalf("the caller has left: %v", err)
+	}
+	group := runLoop(l)
+	defer group.Stop(ctx)
+	if !l.Do(ctx, func(*counter) {}) {
+		t.Fatal("the next call was not carried out")
+	}
+	if begun {
+		t.Error("work began whose caller had left before the loop came to it")
+	}
+}
--- a/internal/daemon/eventloop/calls.go
+++ b/internal/daemon/eventloop/calls.go
@@ -38,14 +38,21 @@
 
 // Post queues a call and does not wait for it. It is false when the queue is full.
 func (q *CallQueue[M]) Post(run func(m M)) bool {
-	return q.queue.TryPush(newCall(run))
+	_, ok := q.push(run)
+	return ok
+}
+
+// push queues a call that its caller may yet give up. ok is false when the queue is full.
+func (q *CallQueue[M]) push(run func(m M)) (call *Call[M], ok bool) {
+	call = newCall(run)
+	return call, q.queue.TryPush(call)
 }
 
 // Do queues a call and waits until it has been carried out. When it is false, because the
 // queue is full, the context ended or the loop did, the call never will be.
 func (q *CallQueue[M]) Do(ctx context.Context, run func(m M)) bool {
-	call := newCall(run)
-	if !q.queue.TryPush(call) {
+	call, ok := q.push(run)
+	if !ok {
 		return false
 	}
 	select {
@@ -54,7 +61,7 @@
 	case <-ctx.Done():
 	case <-q.done:
 	}
-	if call.taken.CompareAndSwap(false, true) {
+	if call.giveUp() {
 		return false
 	}
 	<-call.finished
@@ -65,6 +72,9 @@
 	return &Call[M]{run: run, finished: make(chan struct{})}
 }
 
+// giveUp takes the call back, and reports whether it had not begun: then it never will.
+func (c *Call[M]) giveUp() bool { return c.taken.CompareAndSwap(false, true) }
+
 // Run carries the call out, unless its caller has given it up.
 func (c *Call[M]) Run(m M) {
 	if c.taken.CompareAndSwap(false, true) {
