Orders that were given up: withdrawn on hang-up, and the wait in a process counts

Ruled out: the stall detector, which sees each turn of the loop in time, and the age by the leader's clock, whose readings come by another queue. Change: what gives an order up withdraws it, on the same connections; the leader keeps orders to drain and to reopen for 25 ms before it proposes them, counted anew after a gap. Requests carry how long they have waited in the process. TestExpiredOrder: its rows now stand for jobs, which are not kept; drains have rows of their own, and 'at its end' is refused for them, as the moment for which they are kept counts.

--- a/internal/api/endpoint/endpoint.go
+++ b/internal/api/endpoint/endpoint.go
@@ -65,8 +65,22 @@
 const (
 	MethodJoin = "JOIN"
 	MethodSync = "SYNC"
+	// MethodWithdraw takes back a request that was sent before on the same connection,
+	// as its caller has gone. It has no response.
+	MethodWithdraw = "WITHDRAW"
 )
 
+// Withdrawable reports whether a request is an order that has no number of its own, and
+// whose copies no server can therefore tell from a new order: to drain a zone, or to put
+// it back into use.
+func Withdrawable(method, path string) bool {
+	if method != http.MethodPut && method != http.MethodDelete {
+		return false
+	}
+	target, err := Parse(method, path)
+	return err == nil && (target.Kind == StartDrain || target.Kind == EndDrain)
+}
+
 // Endpoint is what a request is for. Client and JobID are set for endpoints of one
 // job, Name for those of one queue, runner or drain; they are as they stood in the
 // path and have not been checked.
--- a/internal/controlplane/forwarding.go
+++ b/internal/controlplane/forwarding.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 
+	"orchidward/internal/api/endpoint"
 	"orchidward/internal/clock"
 	"orchidward/internal/transport/wire"
 )
@@ -26,6 +27,8 @@
 	id      uint64
 	to      wire.Peer
 	expires clock.Monotonic
+	// withdrawable says that it is an order without a number.
+	withdrawable bool
 }
 
 // forward passes a request on to the leader. It goes over one server at most, and
@@ -34,12 +37,7 @@
 	leader, known := s.currentLeader()
 	toOther := known && leader.ID != s.config.ID && leader.Addr != ""
 	if !toOther || r.Hops > 0 || len(s.forwarded) >= maxProposals || s.leaderLink.lost {
-		s.send(from, wire.Message{Response: &wire.Response{
-			ID:         r.ID,
-			Status:     http.StatusServiceUnavailable,
-			NotLeader:  true,
-			RetryAfter: notLeaderRetryAfter,
-		}})
+		s.replyNotLeader(from, r.ID)
 		return
 	}
 	id := s.takeRequestID()
@@ -49,10 +47,27 @@
 	onward.Hops = r.Hops + 1
 	s.stampLeaderTime(from, &onward)
 	s.leaderLink.requestSent(s.now, len(s.forwarded) == 0)
-	s.forwarded[id] = forwardedRequest{peer: from, id: r.ID, to: to, expires: s.now.Add(max(r.Budget, minForwardTimeout))}
+	s.forwarded[id] = forwardedRequest{
+		peer:         from,
+		id:           r.ID,
+		to:           to,
+		expires:      s.now.Add(max(r.Budget, minForwardTimeout)),
+		withdrawable: endpoint.Withdrawable(r.Method, r.Path),
+	}
 	s.send(to, wire.Message{Request: &onward})
 }
 
+// replyNotLeader answers a request that was not taken, as this server neither leads nor
+// can pass it on.
+func (s *Server) replyNotLeader(to wire.Peer, id uint64) {
+	s.send(to, wire.Message{Response: &wire.Response{
+		ID:         id,
+		Status:     http.StatusServiceUnavailable,
+		NotLeader:  true,
+		RetryAfter: notLeaderRetryAfter,
+	}})
+}
+
 // takeRequestID is the number of the next request of this server's own. Numbers
 // begin at random with every start, so that no response to a request of an earlier
 // incarnation is taken for one of this.
@@ -83,7 +98,7 @@
 		if request.to == leader {
 			continue
 		}
-		delete(s.forwarded, id)
+		s.withdrawForwarded(id)
 		s.replyError(request.peer, request.id, errLeaderChanged)
 	}
 }
--- a/internal/controlplane/forwarding_test.go
+++ b/internal/controlplane/forwarding_test.go
@@ -166,3 +166,43 @@
 		t.Errorf("with a new leader, 2 s before its time: %+v", response)
 	}
 }
+
+// TestForwarderWithdraws checks that a server which has passed an order on withdraws it
+// there when its sender does, or when the server gives it up itself, and that it withdraws
+// nothing for another sender.
+func TestForwarderWithdraws(t *testing.T) {
+	server := newForwarder(t)
+	order := &wire.Request{ID: 5, Method: http.MethodPut, Path: "/v1/closings/east", Budget: 900}
+	server.HandleMessage("@1", wire.Message{Request: order}, 110, 0)
+	first := mustForward(t, server.TakeOutput())
+	server.HandleMessage("@2", wire.Message{Request: wire.NewWithdrawal(1, 5)}, 120, 0)
+	if list := withdrawals(server.TakeOutput()); len(list) > 0 {
+		t.Errorf("withdrawn for another sender: %v", list)
+	}
+	server.HandleMessage("@1", wire.Message{Request: wire.NewWithdrawal(6, 5)}, 130, 0)
+	if list := withdrawals(server.TakeOutput()); len(list) != 1 || list[0] != first.ID {
+		t.Errorf("withdrawn %v, want %d", list, first.ID)
+	}
+
+	server.HandleMessage("@1", wire.Message{Request: order}, 140, 0)
+	second := mustForward(t, server.TakeOutput())
+	server.Tick(145, 0)
+	announceLeader(server, followerAddr, followerNode, wire.LeaderTime{Term: 4, At: 10}, 1100)
+	server.Tick(1120, 0)
+	if list := withdrawals(server.TakeOutput()); len(list) != 1 || list[0] != second.ID {
+		t.Errorf("with another leader withdrawn %v, want %d", list, second.ID)
+	}
+}
+
+// withdrawals are the numbers of the requests that an output withdraws.
+func withdrawals(output controlplane.Output) (ids []uint64) {
+	for _, envelope := range output.Messages {
+		if envelope.Message.Request == nil {
+			continue
+		}
+		if id, ok := envelope.Message.Request.Withdraws(); ok {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- a/internal/controlplane/graceful_stop.go
+++ b/internal/controlplane/graceful_stop.go
@@ -31,6 +31,7 @@
 	}
 	s.stopping = &gracefulStop{since: s.now}
 	s.logEvent("leaving")
+	s.returnDelayedOrders()
 	if s.raft != nil {
 		s.raft.PrepareToLeave()
 	}
--- a/internal/controlplane/leader.go
+++ b/internal/controlplane/leader.go
@@ -96,6 +96,7 @@
 	if !s.isActiveLeader() {
 		return
 	}
+	s.serveDelayedOrders()
 	s.advanceDrains()
 	s.schedule()
 	s.answerPolls()
--- a/internal/controlplane/order_expiry_test.go
+++ b/internal/controlplane/order_expiry_test.go
@@ -11,32 +11,41 @@
 
 // TestExpiredOrder checks that a leader takes an order only while no more time than its
 // sender waits has passed on the leader's clock since the reading that came with it. One
-// with a reading of another term, or with none, is refused. Reads are always served.
+// with a reading of another term, or with none, is refused. Reads are always served. An
+// order to drain a zone is judged once more when it is carried out, some moments later.
 func TestExpiredOrder(t *testing.T) {
+	const drainPath = "/v1/closings/nowhere"
 	cluster := newTestCluster(t, 1, 0)
 	term := cluster.server.Raft().Term()
 	for _, test := range []struct {
 		name     string
 		method   string
+		path     string
 		hasTime  bool
 		term     identifier.Term
 		age      clock.Millis
 		budget   clock.Millis
 		accepted bool
 	}{
-		{"fresh", http.MethodPut, true, term, 100, 900, true},
-		{"at its end", http.MethodPut, true, term, 870, 900, true},
-		{"past it by a slow clock", http.MethodPut, true, term, 890, 900, false},
-		{"old", http.MethodDelete, true, term, 20000, 900, false},
-		{"of an earlier term", http.MethodPut, true, term - 1, 0, 900, false},
-		{"no reading", http.MethodPut, true, 0, 0, 900, false},
-		{"from an earlier version", http.MethodPut, false, 0, 0, 900, true},
-		{"a read", http.MethodGet, true, term - 1, 20000, 900, true},
+		{"fresh", http.MethodPut, jobPath("1"), true, term, 100, 900, true},
+		{"at its end", http.MethodPut, jobPath("1"), true, term, 870, 900, true},
+		{"past it by a slow clock", http.MethodPut, jobPath("1"), true, term, 890, 900, false},
+		{"old", http.MethodDelete, jobPath("1"), true, term, 20000, 900, false},
+		{"of an earlier term", http.MethodPut, jobPath("1"), true, term - 1, 0, 900, false},
+		{"no reading", http.MethodPut, jobPath("1"), true, 0, 0, 900, false},
+		{"from an earlier version", http.MethodPut, jobPath("1"), false, 0, 0, 900, true},
+		{"a read", http.MethodGet, jobPath("1"), true, term - 1, 20000, 900, true},
+		{"fresh drain", http.MethodPut, drainPath, true, term, 100, 900, true},
+		{"drain that ends in time", http.MethodPut, drainPath, true, term, 820, 900, true},
+		{"drain at its end", http.MethodPut, drainPath, true, term, 870, 900, false},
+		{"old drain", http.MethodDelete, drainPath, true, term, 20000, 900, false},
+		{"drain of an earlier term", http.MethodPut, drainPath, true, term - 1, 0, 900, false},
+		{"drain from an earlier version", http.MethodPut, drainPath, false, 0, 0, 900, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			response := cluster.requestWithin(50, wire.Request{
 				Method:        test.method,
-				Path:          "/v1/closings/nowhere",
+				Path:          test.path,
 				Budget:        test.budget,
 				HasLeaderTime: test.hasTime,
 				LeaderTime:    wire.LeaderTime{Term: test.term, At: cluster.now.Add(-test.age)},
--- a/internal/controlplane/requests.go
+++ b/internal/controlplane/requests.go
@@ -24,6 +24,10 @@
 
 // handleRequest serves a request, or passes it on to the leader.
 func (s *Server) handleRequest(from wire.Peer, r *wire.Request) {
+	if id, withdraws := r.Withdraws(); withdraws {
+		s.handleWithdrawal(from, id)
+		return
+	}
 	if !s.isActiveLeader() {
 		s.forward(from, r)
 		return
@@ -56,6 +60,7 @@
 		s.replyStale(from, r)
 	case err != nil:
 		s.replyError(from, r.ID, endpointError(err))
+	case s.delayOrder(request):
 	default:
 		s.serve(request)
 	}
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -54,6 +54,8 @@
 	proposals     proposalTable
 	forwarded     map[uint64]forwardedRequest
 	lastRequestID uint64
+	// delayedOrders are orders that this leader has taken in and not proposed yet.
+	delayedOrders []delayedOrder
 	leaderLink    leaderLink
 
 	// leader is what this server keeps while it leads, nil otherwise, and term the last
@@ -255,6 +257,7 @@
 func (s *Server) loseLeadership() {
 	s.leader = nil
 	s.logEvent("leader-lost", "term", s.term)
+	s.returnDelayedOrders()
 	for _, index := range s.proposals.indexes() {
 		if p, ok := s.proposals.take(index); ok {
 			s.replyOutcomeUnknown(p)
@@ -276,6 +279,7 @@
 
 // advanceClocks takes the time of an input.
 func (s *Server) advanceClocks(now clock.Monotonic, wall clock.WallTime) {
+	s.postponeDelayedOrders(now)
 	s.now = max(s.now, now)
 	s.wall = wall
 	if s.raft != nil && s.clusterTime.clock.base > 0 {
--- /dev/null
+++ b/internal/controlplane/withdrawal_test.go
@@ -0,0 +1,98 @@
+package controlplane_test
+
+import (
+	"net/http"
+	"testing"
+
+	"orchidward/internal/clock"
+	"orchidward/internal/transport/wire"
+)
+
+const drainOfNowhere = "/v1/closings/nowhere"
+
+// drains counts the drains in the cluster's state.
+func (c *testCluster) drains() int { return len(c.server.State().Drains) }
+
+// sendDrain sends an order to drain a domain that no runner has reported from.
+func (c *testCluster) sendDrain() (id uint64) {
+	return c.sendToServer(wire.Request{Method: http.MethodPut, Path: drainOfNowhere, Body: []byte(`{"unseen":true}`), Budget: requestTimeout})
+}
+
+// withdraw withdraws a request of the operator.
+func (c *testCluster) withdraw(id uint64) { c.sendToServer(*wire.NewWithdrawal(0, id)) }
+
+// TestWithdrawnOrderIsNotTaken checks that a leader drops an order that is withdrawn in
+// the moment for which it keeps it, also when that moment fell into a stall, and that the
+// order takes effect when it is not, or too late.
+func TestWithdrawnOrderIsNotTaken(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// runs is how long the leader runs between order and withdrawal, stalls how long
+		// it then stands still.
+		runs   clock.Monotonic
+		stalls clock.Monotonic
+		want   int
+	}{
+		{"at once", 1, 0, 0},
+		{"within the delay", 20, 0, 0},
+		{"after a stall", 5, 400, 0},
+		{"after the delay", 60, 0, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			cluster := newTestCluster(t, 1, 0)
+			id := cluster.sendDrain()
+			cluster.run(test.runs)
+			if test.stalls > 0 {
+				cluster.now += test.stalls
+				cluster.tick()
+			}
+			cluster.withdraw(id)
+			cluster.run(200)
+			if got := cluster.drains(); got != test.want {
+				t.Errorf("%d drains, want %d", got, test.want)
+			}
+			if answered := cluster.responses[id] != nil; answered != (test.want == 1) {
+				t.Errorf("answered: %t", answered)
+			}
+		})
+	}
+}
+
+// TestDelayedOrdersKeepTheirOrder checks that orders are carried out in the order in which
+// they came, and that one that is withdrawn takes none of the others with it.
+func TestDelayedOrdersKeepTheirOrder(t *testing.T) {
+	cluster := newTestCluster(t, 1, 0)
+	first := cluster.sendDrain()
+	withdrawn := cluster.sendToServer(wire.Request{Method: http.MethodDelete, Path: drainOfNowhere, Budget: requestTimeout})
+	last := cluster.sendDrain()
+	cluster.withdraw(withdrawn)
+	cluster.run(200)
+	for _, id := range []uint64{first, last} {
+		if response := cluster.responses[id]; response == nil || response.Status != http.StatusOK {
+			t.Errorf("order %d is answered %+v", id, response)
+		}
+	}
+	for _, drain := range cluster.server.State().Drains {
+		if drain.Stage.Reopening() {
+			t.Errorf("the domain is %s by an order that was withdrawn", drain.Stage)
+		}
+	}
+	if cluster.drains() != 1 {
+		t.Errorf("%d drains, want 1", cluster.drains())
+	}
+}
+
+// TestStoppingLeaderReturnsDelayedOrders checks that a leader that stops says of the
+// orders that it has not carried out that it did not take them.
+func TestStoppingLeaderReturnsDelayedOrders(t *testing.T) {
+	cluster := newTestCluster(t, 1, 0)
+	id := cluster.sendDrain()
+	cluster.run(1)
+	cluster.server.Leave()
+	cluster.sendServerOutput()
+	cluster.run(200)
+	response := cluster.responses[id]
+	if response == nil || !response.NotLeader || cluster.drains() != 0 {
+		t.Errorf("answered %+v, %d drains", response, cluster.drains())
+	}
+}
--- a/internal/daemon/gatewayd/daemon_test.go
+++ b/internal/daemon/gatewayd/daemon_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"orchidward/internal/daemon/lifecycle"
 	"orchidward/internal/gateway"
@@ -83,3 +84,20 @@
 		t.Errorf("a loop that ended answered %d", response.Status)
 	}
 }
+
+// TestQueueTimeCounts checks that the time for which a request waits for the loop is taken
+// from its caller's.
+func TestQueueTimeCounts(t *testing.T) {
+	const budget = 100
+	group := lifecycle.New()
+	defer group.Stop(context.Background())
+	leader, addr := startLeader(t, group)
+	d, life := newTestDaemon(t, group, addr)
+	life.start(t)
+	waitFor(t, "never in touch", d.Ready)
+	d.loop.Post(func(*gateway.Gateway) { time.Sleep(2 * budget * time.Millisecond) })
+	response := d.Do(context.Background(), gateway.Request{Method: http.MethodPut, Path: "/v1/closings/a", Budget: budget})
+	if response.Status != http.StatusServiceUnavailable || leader.unanswered.Load() != 0 {
+		t.Errorf("answered %d %s, and the leader got %d requests", response.Status, response.Body, leader.unanswered.Load())
+	}
+}
--- a/internal/daemon/gatewayd/requests.go
+++ b/internal/daemon/gatewayd/requests.go
@@ -28,7 +28,9 @@
 // in is refused at once.
 func (d *Daemon) Do(ctx context.Context, r gateway.Request) gateway.Response {
 	r.ID = d.lastRequestID.Add(1)
+	arrivedAt := d.clock.Now()
 	response, err := eventloop.Await(ctx, d.loop, func(g *gateway.Gateway, answer func(gateway.Response)) {
+		r.Waited = d.clock.Now().Since(arrivedAt)
 		d.callers[r.ID] = answer
 		g.HandleRequest(r, d.clock.Now())
 	})
--- a/internal/daemon/serverd/daemon_test.go
+++ b/internal/daemon/serverd/daemon_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"orchidward/internal/clock"
 	"orchidward/internal/controlplane"
@@ -125,3 +126,27 @@
 		t.Error("a loop that ended took a call")
 	}
 }
+
+// TestQueueTimeCounts checks that the time for which a request waits for the loop is taken
+// from its caller's: an order whose caller waits no more is not carried out.
+func TestQueueTimeCounts(t *testing.T) {
+	const budget = 100
+	group := lifecycle.New()
+	defer group.Stop(context.Background())
+	servers := startServers(t, group, freeAddrs(1))
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	if response := askUntilDecided(ctx, servers[0], submitJob("j")); !submitted(response) {
+		t.Fatalf("answered %d %s", response.Status, response.Body)
+	}
+	servers[0].loop.Post(func(*controlplane.Server) { time.Sleep(2 * budget * time.Millisecond) })
+	late := submitJob("late")
+	late.Budget = budget
+	if response := servers[0].Do(ctx, late); response.Status != http.StatusServiceUnavailable {
+		t.Errorf("answered %d %s", response.Status, response.Body)
+	}
+	response := askUntilDecided(ctx, servers[0], gateway.Request{Method: http.MethodGet, Path: "/v1/jobs"})
+	if strings.Contains(string(response.Body), "a/late") {
+		t.Errorf("a job was taken whose caller waited no more: %s", response.Body)
+	}
+}
--- a/internal/daemon/serverd/requests.go
+++ b/internal/daemon/serverd/requests.go
@@ -27,7 +27,9 @@
 // gets a 504 in case it still looks.
 func (d *Daemon) Do(ctx context.Context, r gateway.Request) gateway.Response {
 	r.ID = d.lastRequestID.Add(1)
+	arrivedAt := d.clock.Now()
 	response, err := eventloop.Await(ctx, d.loop, func(s *controlplane.Server, answer func(gateway.Response)) {
+		r.Waited = d.clock.Now().Since(arrivedAt)
 		d.requests.Admit(r, answer, d.clock.Now(), s.Connected())
 	})
 	switch {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -24,8 +24,9 @@
 	Seed int64
 }
 
-// Request is one that came in over HTTP. Budget is how long its caller waits, in
-// milliseconds; 0 is the default.
+// Request is one that came in over HTTP. Budget is how long its caller waits from its
+// arrival on, in milliseconds; 0 is the default. Waited is how much of that has passed in
+// this process before the request is handed in.
 type Request struct {
 	ID     uint64
 	Method string
@@ -33,6 +34,7 @@
 	Query  string
 	Body   []byte
 	Budget clock.Millis
+	Waited clock.Millis
 }
 
 // Idempotent reports whether the request may be sent to a leader again when it is not
@@ -43,7 +45,10 @@
 	return r.Method == http.MethodGet || endpoint.IsJobPath(r.Path) || r.Path == endpoint.CatalogPath
 }
 
-// budget is how long the caller waits, where it doesn't say so by default.
+// TimeLeft is how much longer the caller waits, 0 or less when it waits no more. Where the
+// caller doesn't say how long it waits, it is the default.
+func (r Request) TimeLeft() clock.Millis { return r.budget() - r.Waited }
+
 func (r Request) budget() clock.Millis {
 	switch {
 	case r.Budget > 0:
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -37,10 +37,11 @@
 func (g *Gateway) HandleRequest(in Request, now clock.Monotonic) {
 	g.observe(now)
 	g.Counts.Received++
-	in.Budget = in.budget()
-	r := &request{Request: in, deadline: g.now.Add(in.Budget), idempotent: in.Idempotent()}
+	r := &request{Request: in, deadline: g.now.Add(in.TimeLeft()), idempotent: in.Idempotent()}
 	g.requests.add(r)
 	switch {
+	case in.TimeLeft() <= 0:
+		g.replyError(r.ID, http.StatusServiceUnavailable, codeBusy, "the request waited here for longer than its caller does", retryAfterFailure)
 	case !g.Ready(g.now):
 		g.replyError(r.ID, http.StatusServiceUnavailable, codeOutOfTouch, messageOutOfTouch, retryAfterFailure)
 	case r.Method != http.MethodGet && g.stalls.Draining(g.now):
@@ -53,8 +54,21 @@
 	}
 }
 
-// Forget drops a request whose caller has hung up.
-func (g *Gateway) Forget(id uint64) { g.requests.remove(id) }
+// Forget drops a request whose caller has hung up. An order without a number is withdrawn.
+func (g *Gateway) Forget(id uint64) {
+	if r := g.requests.byID[id]; r != nil {
+		g.withdraw(r)
+		g.requests.remove(id)
+	}
+}
+
+// withdraw takes an order without a number back from the server that was asked, as it is
+// given up here.
+func (g *Gateway) withdraw(r *request) {
+	if r.attempt != 0 && endpoint.Withdrawable(r.Method, r.Path) {
+		g.send(r.to, wire.Message{Request: wire.NewWithdrawal(g.takeAttempt(), r.attempt)})
+	}
+}
 
 // validate checks what can be judged here: the form of the request, and the limits of its
 // row. A request with faults is answered here.
@@ -215,6 +229,7 @@
 // took it, and otherwise with 504.
 func (g *Gateway) fail(id uint64, code, message string) {
 	r := g.requests.byID[id]
+	g.withdraw(r)
 	if r.Method != http.MethodGet && (r.outcomeUnknown || r.attempt != 0) {
 		g.replyError(id, http.StatusGatewayTimeout, code, message+"; the outcome is not known", retryAfterFailure)
 		return
@@ -231,6 +246,6 @@
 
 func (g *Gateway) reply(response Response) {
 	g.Counts.Answered++
-	g.Forget(response.ID)
+	g.requests.remove(response.ID)
 	g.output.Responses = append(g.output.Responses, response)
 }
--- a/internal/gateway/requests_test.go
+++ b/internal/gateway/requests_test.go
@@ -164,3 +164,57 @@
 		}
 	}
 }
+
+// TestGivenUpOrderIsWithdrawn checks that an order without a number is withdrawn from the
+// server that has it, once its caller has hung up or its time is over, and that requests
+// whose copies are known again are not.
+func TestGivenUpOrderIsWithdrawn(t *testing.T) {
+	const budget = 700
+	for _, test := range []struct {
+		name   string
+		method string
+		path   string
+		giveUp func(g *Gateway)
+		want   bool
+	}{
+		{"drain, hung up", http.MethodPut, "/v1/closings/east", func(g *Gateway) { g.Forget(1) }, true},
+		{"drain, out of time", http.MethodPut, "/v1/closings/east", func(g *Gateway) { g.Tick(1100 + budget) }, true},
+		{"reopening, hung up", http.MethodDelete, "/v1/closings/east", func(g *Gateway) { g.Forget(1) }, true},
+		{"job, hung up", http.MethodPut, jobPath, func(g *Gateway) { g.Forget(1) }, false},
+		{"read, hung up", http.MethodGet, "/v1/closings", func(g *Gateway) { g.Forget(1) }, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g := newReadyGateway(t)
+			g.HandleRequest(Request{ID: 1, Method: test.method, Path: test.path, Body: []byte(jobBody), Budget: budget}, 1100)
+			order := mustForward(t, g.TakeOutput())
+			test.giveUp(g)
+			withdrawn := false
+			for _, envelope := range g.TakeOutput().Messages {
+				if request := envelope.Message.Request; request != nil {
+					id, ok := request.Withdraws()
+					withdrawn = withdrawn || ok && id == order.ID && envelope.To == leaderAddr
+				}
+			}
+			if withdrawn != test.want {
+				t.Errorf("withdrawn: %t, want %t", withdrawn, test.want)
+			}
+		})
+	}
+}
+
+// TestTimeWaitedCounts checks that what a request has waited before it came in is taken
+// from its caller's time, and that one whose caller waits no more is refused.
+func TestTimeWaitedCounts(t *testing.T) {
+	g := newReadyGateway(t)
+	order := Request{ID: 1, Method: http.MethodPut, Path: "/v1/closings/east", Budget: 700, Waited: 500}
+	g.HandleRequest(order, 1100)
+	if request := mustForward(t, g.TakeOutput()); request.Budget != 200 {
+		t.Errorf("passed on with %d ms, want 200", request.Budget)
+	}
+	order.ID, order.Waited = 2, 700
+	g.HandleRequest(order, 1100)
+	output := g.TakeOutput()
+	if forwarded(output) != nil || !answeredWithRetry(output, http.StatusServiceUnavailable) {
+		t.Errorf("with no time left: %+v", output)
+	}
+}
--- a/internal/inflight/inflight_test.go
+++ b/internal/inflight/inflight_test.go
@@ -271,3 +271,52 @@
 		t.Errorf("an order 600 ms after: %+v", response)
 	}
 }
+
+// TestGivenUpOrderIsWithdrawn: an order without a number is withdrawn from the server's
+// state machine once its caller has left or its time is over, and only then.
+func TestGivenUpOrderIsWithdrawn(t *testing.T) {
+	for name, giveUp := range map[string]func(s *single){
+		"its caller left":  func(s *single) { s.Forget(testID) },
+		"its time is over": func(s *single) { s.Tick(1900, true) },
+	} {
+		s := admit(t, 900)
+		s.Tick(1800, true)
+		if early := s.TakeDispatches(); len(early) > 0 {
+			t.Errorf("%s: dispatched %+v before", name, early)
+		}
+		giveUp(s)
+		withdrawal := s.wantDispatch()
+		if id, ok := withdrawal.Request.Withdraws(); !ok || id != testID || withdrawal.Peer != testPeer {
+			t.Errorf("%s: dispatched %+v", name, withdrawal)
+		}
+	}
+	s := admitRequest(t, repeatable)
+	s.Forget(testID)
+	if list := s.TakeDispatches(); len(list) > 0 {
+		t.Errorf("a change with a number is withdrawn: %+v", list)
+	}
+	s = admit(t, 900)
+	s.reply(wire.Response{Status: http.StatusOK}, 1010)
+	s.Forget(testID)
+	if list := s.TakeDispatches(); len(list) > 0 {
+		t.Errorf("an order that was answered is withdrawn: %+v", list)
+	}
+}
+
+// TestTimeWaitedCounts: what a request has waited in the process before it was admitted is
+// taken from its caller's time.
+func TestTimeWaitedCounts(t *testing.T) {
+	order := gateway.Request{ID: testID, Method: "PUT", Path: "/v1/closings/a", Budget: 700, Waited: 500}
+	requests := New()
+	requests.Admit(order, func(gateway.Response) {}, 1000, true)
+	if list := requests.TakeDispatches(); len(list) != 1 || list[0].Request.Budget != 200 {
+		t.Errorf("dispatched %+v, want it with 200 ms", list)
+	}
+	order.Waited = 700
+	refused := 0
+	requests = New()
+	requests.Admit(order, func(response gateway.Response) { refused = response.Status }, 1000, true)
+	if list := requests.TakeDispatches(); len(list) > 0 || refused != http.StatusServiceUnavailable {
+		t.Errorf("with no time left: answered %d, dispatched %+v", refused, list)
+	}
+}
--- a/internal/inflight/requests.go
+++ b/internal/inflight/requests.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 
+	"orchidward/internal/api/endpoint"
 	"orchidward/internal/clock"
 	"orchidward/internal/gateway"
 	"orchidward/internal/stalldetector"
@@ -78,15 +79,15 @@
 // moment ago. A budget of 0 is 2 s.
 func (r *Requests) Admit(admitted gateway.Request, respond func(response gateway.Response), now clock.Monotonic, connected bool) {
 	r.Observe(now)
+	if admitted.Budget <= 0 {
+		admitted.Budget = defaultBudget
+	}
 	if refusal, refused := r.refuse(admitted, now, connected); refused {
 		refusal.ID = admitted.ID
 		respond(refusal)
 		return
 	}
-	if admitted.Budget <= 0 {
-		admitted.Budget = defaultBudget
-	}
-	pending := &request{Request: admitted, respond: respond, deadline: now.Add(admitted.Budget)}
+	pending := &request{Request: admitted, respond: respond, deadline: now.Add(admitted.Budget - admitted.Waited)}
 	r.pending[admitted.ID] = pending
 	r.bodyBytes += len(admitted.Body)
 	r.dispatch(pending, now)
@@ -97,6 +98,8 @@
 	switch {
 	case len(r.pending) >= maxRequests || r.bodyBytes+len(q.Body) > maxBodyBytes:
 		return Overloaded(), true
+	case q.Waited >= q.Budget:
+		return waitedTooLong(), true
 	case q.Method != http.MethodGet && r.stalls.Draining(now):
 		return stalled(), true
 	case !connected:
@@ -155,6 +158,7 @@
 		q := r.pending[id]
 		switch {
 		case now >= q.deadline && q.dispatched:
+			r.withdraw(q)
 			r.respond(q, outcomeUnknown())
 		case now >= q.deadline, !q.dispatched && !connected:
 			r.respondNoLeader(q)
@@ -175,12 +179,27 @@
 
 func (r *Requests) respond(q *request, response gateway.Response) {
 	response.ID = q.ID
-	r.Forget(q.ID)
+	r.remove(q.ID)
 	q.respond(response)
 }
 
-// Forget drops a request whose caller has gone.
+// Forget drops a request whose caller has gone. An order without a number is withdrawn.
 func (r *Requests) Forget(id uint64) {
+	if q := r.pending[id]; q != nil {
+		r.withdraw(q)
+		r.remove(id)
+	}
+}
+
+// withdraw takes an order without a number back from the server's state machine, as it is
+// given up here.
+func (r *Requests) withdraw(q *request) {
+	if q.dispatched && endpoint.Withdrawable(q.Method, q.Path) {
+		r.dispatches = append(r.dispatches, Dispatch{Peer: wire.LocalPeer(q.ID), Request: wire.NewWithdrawal(q.ID, q.ID)})
+	}
+}
+
+func (r *Requests) remove(id uint64) {
 	if q := r.pending[id]; q != nil {
 		delete(r.pending, id)
 		r.bodyBytes -= len(q.Body)
--- a/internal/inflight/responses.go
+++ b/internal/inflight/responses.go
@@ -31,6 +31,10 @@
 	return gateway.ErrorResponse(http.StatusServiceUnavailable, codeStalled, "this server stood still and can't tell how old the request is", retryInterval)
 }
 
+func waitedTooLong() gateway.Response {
+	return gateway.ErrorResponse(http.StatusServiceUnavailable, codeOverloaded, "the request waited here for longer than its caller does", overloadedRetryAfter)
+}
+
 func noLeader() gateway.Response {
 	return gateway.ErrorResponse(http.StatusServiceUnavailable, codeNoLeader, "no leader is known here", noLeaderRetryAfter)
 }
--- a/internal/transport/wire/message.go
+++ b/internal/transport/wire/message.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"strconv"
 
+	"orchidward/internal/api/endpoint"
 	"orchidward/internal/api/identifier"
 	"orchidward/internal/clock"
 	"orchidward/internal/consensus/raft"
@@ -81,6 +83,22 @@
 	return false
 }
 
+// NewWithdrawal is the request that takes back another one: the receiver knows that one by
+// the connection that both came on, and by its ID.
+func NewWithdrawal(id, withdrawn uint64) *Request {
+	return &Request{ID: id, Method: endpoint.MethodWithdraw, Path: "/", Query: strconv.FormatUint(withdrawn, 10)}
+}
+
+// Withdraws is the ID of the request that this one takes back; ok is false if it takes none
+// back.
+func (r *Request) Withdraws() (id uint64, ok bool) {
+	if r.Method != endpoint.MethodWithdraw {
+		return 0, false
+	}
+	id, err := strconv.ParseUint(r.Query, 10, 64)
+	return id, err == nil
+}
+
 // Response answers a Request.
 type Response struct {
 	ID uint64
--- a/tests/simulation/gateway.go
+++ b/tests/simulation/gateway.go
@@ -55,11 +55,21 @@
 }
 
 // handleRequest takes a request made at this gateway; respond is called once, unless
-// the process dies before.
-func (g *Gateway) handleRequest(request gateway.Request, respond func(status int, body []byte)) {
+// the process dies before or the caller hangs up.
+func (g *Gateway) handleRequest(request gateway.Request, respond func(status int, body []byte)) (hangUp func()) {
 	g.lastRequest++
 	request.ID = g.lastRequest
+	request.Waited = g.cluster.waited(g.Process)
 	g.responders[request.ID] = respond
 	g.Machine.HandleRequest(request, g.cluster.Monotonic(g.Process))
 	g.flush()
+	incarnation := g.Incarnation
+	return func() {
+		if g.Incarnation != incarnation {
+			return
+		}
+		delete(g.responders, request.ID)
+		g.Machine.Forget(request.ID)
+		g.flush()
+	}
 }
--- a/tests/simulation/http.go
+++ b/tests/simulation/http.go
@@ -14,6 +14,13 @@
 // address. done is called once, with NoResponse when nothing came within the
 // timeout in ms.
 func (c *Cluster) Request(from *Process, addr, method, path string, body []byte, timeout int64, done func(status int, body []byte)) {
+	c.RequestUntil(from, addr, method, path, body, timeout, timeout, done)
+}
+
+// RequestUntil is Request for a caller that hangs up after so many ms: it says that it
+// waits for the timeout, and closes its connection before. done is called with NoResponse
+// then.
+func (c *Cluster) RequestUntil(from *Process, addr, method, path string, body []byte, timeout, hangUpAfter int64, done func(status int, body []byte)) {
 	over := false
 	finish := func(status int, body []byte) {
 		if !over {
@@ -21,8 +28,18 @@
 			done(status, body)
 		}
 	}
-	c.post(from, timeout, func() { finish(NoResponse, nil) })
 	to := c.processes[addr]
+	var hangUp func()
+	c.post(from, hangUpAfter, func() {
+		if to != nil && hangUpAfter < timeout && !over {
+			c.transmit(from, to, func() {
+				if hangUp != nil {
+					hangUp()
+				}
+			})
+		}
+		finish(NoResponse, nil)
+	})
 	if to == nil {
 		return
 	}
@@ -32,12 +49,12 @@
 	}
 	for _, receiver := range c.Gateways {
 		if receiver.Process == to {
-			c.transmit(from, to, func() { receiver.handleRequest(request, respond) })
+			c.transmit(from, to, func() { hangUp = receiver.handleRequest(request, respond) })
 		}
 	}
 	for _, receiver := range c.Servers {
 		if receiver.Process == to {
-			c.transmit(from, to, func() { receiver.handleRequest(request, respond) })
+			c.transmit(from, to, func() { hangUp = receiver.handleRequest(request, respond) })
 		}
 	}
 }
--- a/tests/simulation/process.go
+++ b/tests/simulation/process.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"orchidward/internal/clock"
+	"orchidward/internal/stalldetector"
 )
 
 // WallClockStart is the true time of day at the start, in ms since 1970.
@@ -29,6 +30,11 @@
 	Frozen bool
 	// ClockSkew is how far the wall clock is ahead, in ms.
 	ClockSkew int64
+	// Slowness is how many times as long as usual the process takes for each message
+	// and request that it reads; up to 1 it takes no time at all. Requests of clients
+	// wait for it, in the order in which they came; messages of other processes are read
+	// at once and take from the same time, as they have a queue of their own.
+	Slowness int64
 
 	// Incarnation counts the starts and the ends of the process.
 	Incarnation int
@@ -38,8 +44,19 @@
 	suspendedAt int64
 	// suspendedFor is for how long the process has been frozen since its start.
 	suspendedFor int64
+	// busyUntil is when a slow process has read all that has come, in microseconds, and
+	// arrivedAt when that came, in ms, which it reads at the moment.
+	busyUntil int64
+	arrivedAt int64
 }
 
+// messageCost is what a message costs a process at its usual speed, in microseconds.
+const messageCost = 500
+
+// unseenWait is for how long, in ms, a request may have waited in a slow process before
+// the process takes note of it: no longer than a stall that goes unnoticed.
+const unseenWait = int64(stalldetector.Limit)
+
 // delivery is what a frozen process does when it wakes, and the connection by which
 // it came. What came by one connection is read in order, connections in any.
 type delivery struct {
@@ -109,11 +126,45 @@
 				p.inbox = append(p.inbox, delivery{connection, do})
 			}
 		default:
+			c.read(p, connection, do)
+		}
+	})
+}
+
+// read lets a process read what has come: at once, or when a slow one gets to it.
+func (c *Cluster) read(p *Process, connection string, do func()) {
+	arrivedAt := c.Now
+	waits := connection == clientsName && (p.Slowness > 1 || c.Backlog(p) > 0)
+	if p.Slowness > 1 {
+		p.busyUntil = max(p.busyUntil, c.Now*1000) + messageCost*p.Slowness
+	}
+	if !waits {
+		p.arrivedAt = arrivedAt
+		do()
+		return
+	}
+	incarnation := p.Incarnation
+	c.At(p.busyUntil/1000, func() {
+		switch {
+		case !p.Up || p.Incarnation != incarnation:
+		case p.Frozen:
+			p.inbox = append(p.inbox, delivery{connection, do})
+		default:
+			p.arrivedAt = arrivedAt
 			do()
 		}
 	})
 }
 
+// Backlog is how long what comes to a process now waits until it is read, in ms.
+func (c *Cluster) Backlog(p *Process) int64 { return max(0, p.busyUntil/1000-c.Now) }
+
+// waited is for how long the request that a process reads now has waited in it, as far as
+// the process can tell.
+func (c *Cluster) waited(p *Process) clock.Millis {
+	return clock.Millis(max(0, c.Now-p.arrivedAt-unseenWait))
+}
+
 // Monotonic reads the monotonic clock of a process.
 func (c *Cluster) Monotonic(p *Process) clock.Monotonic {
 	elapsed := c.Now - p.startedAt
@@ -145,6 +196,7 @@
 	p.inbox = nil
 	for _, do := range waiting {
 		if p.Up {
+			p.arrivedAt = c.Now
 			do()
 		}
 	}
@@ -170,6 +222,7 @@
 	p.Frozen = false
 	p.inbox = nil
 	p.suspendedFor = 0
+	p.busyUntil = 0
 	p.Incarnation++
 }
 
--- a/tests/simulation/scenarios/delayed_orders_test.go
+++ b/tests/simulation/scenarios/delayed_orders_test.go
@@ -132,32 +132,38 @@
 	return simulation.UndoAll(undos)
 }
 
-// orderDelays are the ways in which an order's first copy is delayed.
-var orderDelays = []struct {
-	name  string
+// orderDelay is a way in which an order's first copy is delayed.
+type orderDelay struct {
+	name string
+	// at lists the addresses that an order is sent to, the delayed one first.
 	at    func(w *simulation.Cluster) (addrs []string)
 	delay func(w *simulation.Cluster) (undo func())
-}{
-	{"asked at the leader, which is frozen", leaderFirst, func(w *simulation.Cluster) func() { return w.Freeze(w.Leader().Process) }},
-	{"asked at a follower, which is frozen", followerFirst, func(w *simulation.Cluster) func() { return w.Freeze(w.Process(followerFirst(w)[0])) }},
-	{"asked at a follower, its link to the leader stalled", followerFirst, func(w *simulation.Cluster) func() {
+	// undecided says that the leader takes an order in and cannot have it decided.
+	undecided bool
+}
+
+// orderDelays are all of them.
+var orderDelays = []orderDelay{
+	{name: "asked at the leader, which is frozen", at: leaderFirst, delay: func(w *simulation.Cluster) func() { return w.Freeze(w.Leader().Process) }},
+	{name: "asked at a follower, which is frozen", at: followerFirst, delay: func(w *simulation.Cluster) func() { return w.Freeze(w.Process(followerFirst(w)[0])) }},
+	{name: "asked at a follower, its link to the leader stalled", at: followerFirst, delay: func(w *simulation.Cluster) func() {
 		return w.StallLink(w.Process(followerFirst(w)[0]), w.Leader().Process)
 	}},
-	{"leader frozen", gatewayAddrs, func(w *simulation.Cluster) func() { return w.Freeze(w.Leader().Process) }},
-	{"leader cut off, links to it stalled", gatewayAddrs, func(w *simulation.Cluster) func() {
+	{name: "leader frozen", at: gatewayAddrs, delay: func(w *simulation.Cluster) func() { return w.Freeze(w.Leader().Process) }},
+	{undecided: true, name: "leader cut off, links to it stalled", at: gatewayAddrs, delay: func(w *simulation.Cluster) func() {
 		lead := w.Leader()
 		return simulation.UndoAll([]func(){stallGatewayLinks(w, lead), w.Isolate(lead.Process, true, false)})
 	}},
-	{"links to the leader stalled", gatewayAddrs, func(w *simulation.Cluster) func() { return stallGatewayLinks(w, w.Leader()) }},
-	{"gateway frozen", gatewayAddrs, func(w *simulation.Cluster) func() { return w.Freeze(w.Gateways[0].Process) }},
-	{"links from one gateway stalled", gatewayAddrs, func(w *simulation.Cluster) func() {
+	{name: "links to the leader stalled", at: gatewayAddrs, delay: func(w *simulation.Cluster) func() { return stallGatewayLinks(w, w.Leader()) }},
+	{name: "gateway frozen", at: gatewayAddrs, delay: func(w *simulation.Cluster) func() { return w.Freeze(w.Gateways[0].Process) }},
+	{name: "links from one gateway stalled", at: gatewayAddrs, delay: func(w *simulation.Cluster) func() {
 		undos := []func(){}
 		for _, k := range w.Servers {
 			undos = append(undos, w.StallLink(w.Gateways[0].Process, k.Process))
 		}
 		return simulation.UndoAll(undos)
 	}},
-	{"followers' links to the leader stalled, gateways cut from it", gatewayAddrs, func(w *simulation.Cluster) func() {
+	{undecided: true, name: "followers' links to the leader stalled, gateways cut from it", at: gatewayAddrs, delay: func(w *simulation.Cluster) func() {
 		lead, undos := w.Leader(), []func(){}
 		for _, k := range w.Servers {
 			if k != lead {
--- a/tests/simulation/server.go
+++ b/tests/simulation/server.go
@@ -210,13 +210,22 @@
 }
 
 // handleRequest takes a request made at this server; respond is called once, unless
-// the process dies before.
-func (s *Server) handleRequest(request gateway.Request, respond func(status int, body []byte)) {
+// the process dies before or the caller hangs up.
+func (s *Server) handleRequest(request gateway.Request, respond func(status int, body []byte)) (hangUp func()) {
 	s.lastRequest++
 	request.ID = s.lastRequest
+	request.Waited = s.cluster.waited(s.Process)
 	done := func(response gateway.Response) { respond(response.Status, response.Body) }
 	s.requests.Admit(request, done, s.cluster.Monotonic(s.Process), s.Machine.Connected())
 	s.dispatch()
+	incarnation := s.Incarnation
+	return func() {
+		if s.Incarnation != incarnation {
+			return
+		}
+		s.requests.Forget(request.ID)
+		s.dispatch()
+	}
 }
 
 // IsLeader tells whether this server believes that it leads, and is awake to act on
