--- /dev/null
+++ b/tests/mutation/given_up.go
@@ -0,0 +1,86 @@
+package main
+
+import "orchidward/tests/sourceedit"
+
+// givenUpMutations let orders take effect that their sender has given up.
+var givenUpMutations = []mutation{
+	{
+		name:        "request whose caller left is taken from the queue",
+		file:        "internal/daemon/eventloop/await.go",
+		original:    "		call.giveUp()\n",
+		replacement: "		_ = call\n",
+		tests:       test("./internal/daemon/eventloop", "TestAwaitGivenUpBeforeItBegins"),
+		want:        "work began whose caller had left",
+	},
+	{
+		name:        "time in the process does not count",
+		file:        "internal/gateway/config.go",
+		original:    "return r.budget() - r.Waited }",
+		replacement: "return r.budget() }",
+		also: []sourceedit.Edit{
+			{File: "internal/inflight/requests.go", Original: "case q.Waited >= q.Budget:", Replacement: "case q.Waited < 0:"},
+			{File: "internal/inflight/requests.go", Original: "now.Add(admitted.Budget - admitted.Waited)", Replacement: "now.Add(admitted.Budget)"},
+		},
+		tests: test("./tests/simulation/scenarios", "TestSlowProcessDrainOrder"),
+		want:  "the domain that was reopened is",
+	},
+	{
+		name:        "gateway does not measure the time in its queue",
+		file:        "internal/daemon/gatewayd/requests.go",
+		original:    "r.Waited = d.clock.Now().Since(arrivedAt)",
+		replacement: "r.Waited = arrivedAt.Since(arrivedAt)",
+		tests:       test("./internal/daemon/gatewayd", "TestQueueTimeCounts"),
+		want:        "and the leader got",
+	},
+	{
+		name:        "server does not measure the time in its queue",
+		file:        "internal/daemon/serverd/requests.go",
+		original:    "r.Waited = d.clock.Now().Since(arrivedAt)",
+		replacement: "r.Waited = arrivedAt.Since(arrivedAt)",
+		tests:       test("./internal/daemon/serverd", "TestQueueTimeCounts"),
+		want:        "whose caller waited no more",
+	},
+	{
+		name:        "order that is given up is not withdrawn",
+		file:        "internal/controlplane/withdrawal.go",
+		original:    "return order.request.peer == from && order.request.ID == id",
+		replacement: "return order.request.peer == from && order.request.ID == 0",
+		tests:       test("./tests/simulation/scenarios", "TestHangUp"),
+		want:        "after its caller had hung up",
+	},
+	{
+		name:        "leader keeps no order for a withdrawal",
+		file:        "internal/controlplane/withdrawal.go",
+		original:    "const (\n	// drainOrderDelay",
+		replacement: "const (\n	neverDelayed = true\n	// drainOrderDelay",
+		also: []sourceedit.Edit{
+			{File: "internal/controlplane/withdrawal.go", Original: "if !endpoint.Withdrawable(r.Method, r.Path) ||", Replacement: "if neverDelayed || !endpoint.Withdrawable(r.Method, r.Path) ||"},
+		},
+		tests: test("./tests/simulation/scenarios", "TestHangUp"),
+		want:  "after its caller had hung up",
+	},
+	{
+		name:        "stall counts for an order that is kept",
+		file:        "internal/controlplane/withdrawal.go",
+		original:    "if len(s.delayedOrders) == 0 || now.Since(s.now) <= drainOrderDelay {",
+		replacement: "if len(s.delayedOrders) >= 0 {",
+		tests:       test("./internal/controlplane", "TestWithdrawnOrderIsNotTaken"),
+		want:        "1 drains, want 0",
+	},
+	{
+		name:        "kept order is not judged again",
+		file:        "internal/controlplane/withdrawal.go",
+		original:    "if s.orderExpired(r.Request) {",
+		replacement: "if s.orderExpired(r.Request) && s.stopping != nil {",
+		tests:       test("./internal/controlplane", "TestExpiredOrder"),
+		want:        "want it accepted: false",
+	},
+	{
+		name:        "follower withdraws nothing",
+		file:        "internal/controlplane/withdrawal.go",
+		original:    "if request.withdrawable {",
+		replacement: "if request.withdrawable && request.to == \"\" {",
+		tests:       test("./internal/controlplane", "TestForwarderWithdraws"),
+		want:        "withdrawn",
+	},
+}
--- a/tests/mutation/mutation.go
+++ b/tests/mutation/mutation.go
@@ -54,6 +54,7 @@
 		placementMutations,
 		operatorMutations,
 		requestMutations,
+		givenUpMutations,
 	)
 }
 
--- a/tests/simulation/http.go
+++ b/tests/simulation/http.go
@@ -14,13 +14,24 @@
 // address. done is called once, with NoResponse when nothing came within the
 // timeout in ms.
 func (c *Cluster) Request(from *Process, addr, method, path string, body []byte, timeout int64, done func(status int, body []byte)) {
-	c.RequestUntil(from, addr, method, path, body, timeout, timeout, done)
+	c.Call(HTTPCall{from, addr, method, path, body, timeout, timeout}, done)
 }
 
-// RequestUntil is Request for a caller that hangs up after so many ms: it says that it
-// waits for the timeout, and closes its connection before. done is called with NoResponse
-// then.
-func (c *Cluster) RequestUntil(from *Process, addr, method, path string, body []byte, timeout, hangUpAfter int64, done func(status int, body []byte)) {
+// HTTPCall is an HTTP request from one process to the gateway or server at an address. Its
+// caller says that it waits for Timeout ms, and hangs up after HangUpAfter if that is less.
+type HTTPCall struct {
+	From         *Process
+	Addr         string
+	Method, Path string
+	Body         []byte
+	Timeout      int64
+	HangUpAfter  int64
+}
+
+// Call sends an HTTP request. done is called once, with NoResponse when nothing came before
+// the caller hung up or its time was over.
+func (c *Cluster) Call(call HTTPCall, done func(status int, body []byte)) {
+	from := call.From
 	over := false
 	finish := func(status int, body []byte) {
 		if !over {
@@ -28,10 +39,10 @@
 			done(status, body)
 		}
 	}
-	to := c.processes[addr]
+	to := c.processes[call.Addr]
 	var hangUp func()
-	c.post(from, hangUpAfter, func() {
-		if to != nil && hangUpAfter < timeout && !over {
+	c.post(from, call.HangUpAfter, func() {
+		if to != nil && call.HangUpAfter < call.Timeout && !over {
 			c.transmit(from, to, func() {
 				if hangUp != nil {
 					hangUp()
@@ -43,7 +54,7 @@
 	if to == nil {
 		return
 	}
-	request := gateway.Request{Method: method, Path: path, Body: body, Budget: clock.Millis(timeout)}
+	request := gateway.Request{Method: call.Method, Path: call.Path, Body: call.Body, Budget: clock.Millis(call.Timeout)}
 	respond := func(status int, body []byte) {
 		c.transmit(to, from, func() { finish(status, body) })
 	}
--- a/tests/simulation/scenarios/hang_up_test.go
+++ b/tests/simulation/scenarios/hang_up_test.go
@@ -61,7 +61,16 @@
 	cluster.At(delayStart, func() { cluster.After(r.lasts, r.delay(cluster)) })
 	hungUpAt := int64(delayStart) + r.offset + r.hangUp
 	cluster.At(delayStart+r.offset, func() {
-		cluster.RequestUntil(cluster.Clients.Process, addrs[0], http.MethodPut, endpoint.DrainPath("east"), []byte(`{"unseen":true}`), r.timeout, r.hangUp, func(int, []byte) {})
+		call := simulation.HTTPCall{
+			From:        cluster.Clients.Process,
+			Addr:        addrs[0],
+			Method:      http.MethodPut,
+			Path:        endpoint.DrainPath("east"),
+			Body:        []byte(`{"unseen":true}`),
+			Timeout:     r.timeout,
+			HangUpAfter: r.hangUp,
+		}
+		cluster.Call(call, func(int, []byte) {})
 	})
 	cluster.Poll(1, func() (again bool) {
 		if !drainedBySome(cluster, "east") {
