Second loss: a silent voter is replaced after 1 s, a planned stop waits for empty seats

Cause: of the 2.3 s between a loss and full tolerance 2 s were silence; and with three voters a restart beside one that was away took the majority (1.3 s without a leader). Change: voters silent for 1 s, or two election timeouts, give their seat to a learner that has the log; a server told to stop is held back while another seat is empty, 2 s at most.

--- a/internal/controlplane/cluster_documents.go
+++ b/internal/controlplane/cluster_documents.go
@@ -162,6 +162,8 @@
 	Match     identifier.Index `json:"match"`
 	SilentFor clock.Millis     `json:"quietMs"`
 	Level     uint16           `json:"level"`
+	// Heard says that the leader has heard the server since it began to lead.
+	Heard bool `json:"heard"`
 }
 
 // ServersDoc is the group as its leader sees it. Snapshot is the index that the newest
@@ -182,7 +184,7 @@
 
 func (s *Server) serverDocs() ServersDoc {
 	self, _ := s.raft.Member(s.config.ID)
-	list := []ServerDoc{{Member: self, Name: self.ID.String(), Leads: true, Match: s.raft.LastIndex(), Level: s.config.Level}}
+	list := []ServerDoc{{Member: self, Name: self.ID.String(), Leads: true, Match: s.raft.LastIndex(), Level: s.config.Level, Heard: true}}
 	for _, status := range s.raft.MemberStatuses() {
 		list = append(list, ServerDoc{
 			Member:    status.Member,
@@ -190,6 +192,7 @@
 			Match:     status.Match,
 			SilentFor: status.SilentFor,
 			Level:     status.Level,
+			Heard:     status.WallTimeReadAt != 0,
 		})
 	}
 	return ServersDoc{
--- a/internal/controlplane/graceful_stop.go
+++ b/internal/controlplane/graceful_stop.go
@@ -23,12 +23,22 @@
 	transferred bool
 }
 
-// Leave begins the graceful stop. The server must go on being run until Left says that
-// it may end. Calling it again does nothing.
+// Leave begins the graceful stop, or has it held back for as long as another voter is away
+// (stop_hold.go). The server must go on being run until Left says that it may end. Calling
+// it again does nothing.
 func (s *Server) Leave() {
-	if s.stopping != nil {
-		return
+	switch {
+	case s.stopping != nil || s.hold != nil:
+	case s.holdsSeat():
+		s.hold = &stopHold{since: s.now}
+		s.continueHold()
+	default:
+		s.beginStop()
 	}
+}
+
+func (s *Server) beginStop() {
+	s.hold = nil
 	s.stopping = &gracefulStop{since: s.now}
 	s.logEvent("leaving")
 	s.returnDelayedOrders()
--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	// voterSilentLimit is how long a voter is silent before a learner that has caught up
-	// takes its place. Losses may follow one another within few seconds.
-	voterSilentLimit clock.Millis = 2000
+	// minVoterSilence is how long a voter is silent at least before a learner that has
+	// caught up takes its place, silentElections the same in election timeouts. Losses may
+	// follow one another within few seconds.
+	minVoterSilence clock.Millis = 1000
+	silentElections              = 2
 	// memberDeadAfter is how long a member is silent before it counts as dead for good.
 	memberDeadAfter clock.Millis = 10000
 	// maxLearners bounds the members without a vote.
@@ -24,6 +26,13 @@
 	caughtUpGap = 64
 )
 
+// voterSilentLimit is how long a voter is silent before a learner that has caught up takes
+// its place. Most of the time until the group tolerates its next loss is this silence. A
+// voter that comes back later finds its seat taken, and is a learner.
+func (s *Server) voterSilentLimit() clock.Millis {
+	return max(minVoterSilence, silentElections*s.config.Timing.ElectionTimeout)
+}
+
 // changeMembership changes the group by one member when there is reason to. A learner
 // that has caught up takes the place of a voter that is gone: first it becomes a
 // voter, then the dead one leaves, each by its own entry. A member whose address
@@ -32,7 +41,7 @@
 // again when it returns.
 func (s *Server) changeMembership(statuses []raft.MemberStatus) {
 	members := s.memberStates(statuses)
-	established := s.now.Since(s.leader.since) > voterSilentLimit
+	established := s.now.Since(s.leader.since) > s.voterSilentLimit()
 	if next := nextMembers(members, s.wantedVoters(members), established); next != nil {
 		s.raft.ProposeMembers(next)
 	}
@@ -90,15 +99,16 @@
 		// Longer than any member that may still return, so that it is replaced first.
 		silentFor = max(silentFor, memberDeadAfter) * 2
 	}
-	heard := status.WallTimeReadAt != 0 && silentFor < voterSilentLimit && !status.Leaving
+	limit := s.voterSilentLimit()
+	heard := status.WallTimeReadAt != 0 && silentFor < limit && !status.Leaving
 	caughtUp := status.Match >= s.raft.TermStart() && status.Match+caughtUpGap >= s.raft.CommitIndex()
 	return memberState{
 		Member:      member,
 		silentFor:   silentFor,
 		live:        heard,
-		replaceable: member.Voter && (silentFor > voterSilentLimit || status.Leaving),
+		replaceable: member.Voter && (silentFor > limit || status.Leaving),
 		abandoned:   !member.Voter && silentFor > memberDeadAfter,
-		caughtUp:    !member.Voter && heard && silentFor < voterSilentLimit/2 && caughtUp,
+		caughtUp:    !member.Voter && heard && silentFor < limit/2 && caughtUp,
 	}
 }
 
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -26,7 +26,9 @@
 	output Output
 	// halted says that this server takes no further input.
 	halted bool
-	// stopping is the graceful stop under way, nil until it begins.
+	// hold is a stop that is held back, stopping the graceful stop under way; both are nil
+	// until one begins.
+	hold     *stopHold
 	stopping *gracefulStop
 
 	// raft is this server's member of the consensus group, nil until it belongs to one.
@@ -164,6 +166,7 @@
 		return
 	}
 	s.raft.Tick(now, wall)
+	s.continueHold()
 	s.transferLeadership()
 	s.updateLeadership()
 	s.forgetExpired()
@@ -194,7 +197,9 @@
 		s.updateLeadership()
 		s.handleRequest(from, msg.Request)
 	case msg.Response != nil:
-		s.forwardResponse(from, msg.Response)
+		if !s.handleSeats(from, msg.Response) {
+			s.forwardResponse(from, msg.Response)
+		}
 	}
 	s.updateLeadership()
 	s.process()
