--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -14,7 +14,7 @@
 	// caught up takes its place, silentElections the same in election timeouts. Losses may
 	// follow one another within few seconds.
 	minVoterSilence clock.Millis = 1000
-	silentElections              = 2
+	silentElections clock.Millis = 2
 	// memberDeadAfter is how long a member is silent before it counts as dead for good.
 	memberDeadAfter clock.Millis = 10000
 	// maxLearners bounds the members without a vote.
