--- a/tests/simulation/network.go
+++ b/tests/simulation/network.go
@@ -17,6 +17,8 @@
 	stalled map[link][]func()
 	// lastArrival keeps what is sent by a link in order.
 	lastArrival map[link]int64
+	// busyUntil is when a link has carried all that was sent by it.
+	busyUntil map[link]int64
 }
 
 func newNetwork() network {
@@ -24,6 +26,7 @@
 		blocked:     map[link]bool{},
 		stalled:     map[link][]func(){},
 		lastArrival: map[link]int64{},
+		busyUntil:   map[link]int64{},
 	}
 }
 
@@ -39,6 +42,24 @@
 	return a == b || !c.blocked(a, b) && !c.blocked(b, a)
 }
 
+// carry delivers a message of so many bytes from one process to another, once the link has
+// carried those before it.
+func (c *Cluster) carry(from, to *Process, size int, do func()) {
+	if c.Spec.LinkBytesPerMs == 0 || from == to {
+		c.transmit(from, to, do)
+		return
+	}
+	way := linkBetween(from, to)
+	done := max(c.Now, c.network.busyUntil[way]) + int64(size)/c.Spec.LinkBytesPerMs
+	c.network.busyUntil[way] = done
+	incarnation := from.Incarnation
+	c.At(done, func() {
+		if from.Incarnation == incarnation {
+			c.transmit(from, to, do)
+		}
+	})
+}
+
 // transmit delivers from one process to another: after a delay and in order, or not
 // at all.
 func (c *Cluster) transmit(from, to *Process, do func()) {
@@ -156,22 +177,23 @@
 		return
 	}
 	c.Traffic.Frames++
-	message := c.reencode(envelope.Message)
-	c.transmit(from, to, func() { c.deliver(to, wire.Peer(from.Addr), message) })
+	message, size := c.reencode(envelope.Message)
+	c.carry(from, to, size, func() { c.deliver(to, wire.Peer(from.Addr), message) })
 }
 
 // reencode encodes and decodes a message, and counts its bytes.
-func (c *Cluster) reencode(message wire.Message) wire.Message {
+func (c *Cluster) reencode(message wire.Message) (decoded wire.Message, size int) {
 	var buffer bytes.Buffer
 	if err := wire.NewEncoder(&buffer).Encode(message); err != nil {
 		panic("simulation: a message does not encode: " + err.Error())
 	}
-	c.Traffic.Bytes += int64(buffer.Len())
+	size = buffer.Len()
+	c.Traffic.Bytes += int64(size)
 	decoded, err := wire.NewDecoder(&buffer).Decode()
 	if err != nil {
 		panic("simulation: an encoded message does not decode: " + err.Error())
 	}
-	return decoded
+	return decoded, size
 }
 
 // deliver hands a message to the state machine that runs in a process.
--- a/tests/simulation/server.go
+++ b/tests/simulation/server.go
@@ -51,6 +51,8 @@
 	logFileBytes = 256 << 10
 )
 
+func (s ClusterSpec) logFileBytes() int { return max(s.LogFileBytes, logFileBytes) }
+
 // AddServer adds a server with an empty disk, which is not started yet.
 func (c *Cluster) AddServer(name, domain string) *Server {
 	server := &Server{
@@ -59,7 +61,7 @@
 		Seeds:   c.Seeds,
 		Level:   state.SupportedLevel,
 		cluster: c,
-		layout:  wal.Layout{Files: logFiles, Bytes: logFileBytes},
+		layout:  wal.Layout{Files: logFiles, Bytes: c.Spec.logFileBytes()},
 	}
 	c.Servers = append(c.Servers, server)
 	return server
--- a/tests/simulation/spec.go
+++ b/tests/simulation/spec.go
@@ -13,6 +13,9 @@
 	Cores, Mem int64
 	// DelayMs is the usual one-way delay of messages.
 	DelayMs int64
+	// LinkBytesPerMs is how fast a link between two processes carries messages, in bytes
+	// a ms, 0 for at once.
+	LinkBytesPerMs int64
 	// LossPerMille is the share of messages that are lost.
 	LossPerMille int64
 	// LoadPercent is the clients' load in percent of the usual.
@@ -24,6 +27,9 @@
 	ServerDomains int
 	// DisklessServers is how many servers without a disk there are besides.
 	DisklessServers int
+	// LogFileBytes is the size of each file of a server's write-ahead log, 0 for the
+	// usual, which is small enough that it is compacted in many runs.
+	LogFileBytes int
 	// ElectionTimeout is the least wait before an election, 0 for the usual.
 	ElectionTimeout clock.Millis
 }
