raft: a probe that is repeated carries no entries

Cause: while a leader does not know whether a follower's log fits, it sent the entries after the probed one again with every heartbeat, 20 a second with elections after 250 ms. On a link of 2 Mbit/s an entry of 300 KB takes over a second, so that the repeats filled the link: an empty replacement had the log after 19.3 s (TestThinLinks, 2,000 routes).

Change: the repeat asks for the probed entry alone; entries that were lost follow what the next append's rejection says. A mutation brings the repeats back, and is noticed.

--- a/internal/consensus/raft/replication.go
+++ b/internal/consensus/raft/replication.go
@@ -63,10 +63,10 @@
 		return
 	}
 	if p.probing && p.appendInFlight {
-		if !heartbeat {
-			return
+		if heartbeat {
+			r.repeatProbe(to, p)
 		}
-		p.next = p.lastPrevIndex + 1
+		return
 	}
 	prevIndex := p.next - 1
 	prevTerm, _ := r.log.term(prevIndex)
@@ -83,6 +83,19 @@
 	r.send(m)
 }
 
+// repeatProbe asks once more whether a peer has the entry before those in flight. They are
+// not sent again: on a thin link they may be on their way for long, and repeats would fill
+// it. If they were lost, what is sent after the peer's answer is rejected, and they follow.
+func (r *Raft) repeatProbe(to identifier.Node, p *peer) {
+	prevTerm, ok := r.log.term(p.lastPrevIndex)
+	if !ok {
+		p.next = p.lastPrevIndex + 1
+		r.sendSnapshot(to, p, true)
+		return
+	}
+	r.send(Message{Kind: AppendEntries, To: to, Index: p.lastPrevIndex, LogTerm: prevTerm, Commit: r.commit})
+}
+
 // mayPipeline reports whether more entries may be sent to a peer before it has
 // acknowledged the ones in flight.
 func (r *Raft) mayPipeline(p *peer) bool {
--- a/tests/mutation/consensus.go
+++ b/tests/mutation/consensus.go
@@ -203,4 +203,12 @@
 		tests:       test("./internal/consensus/raft", "TestMessageForAnotherMemberIgnored"),
 		want:        "took a message for",
 	},
+	{
+		name:        "entries are repeated with every heartbeat",
+		file:        "internal/consensus/raft/replication.go",
+		original:    "			r.repeatProbe(to, p)\n",
+		replacement: "			p.appendInFlight = false\n			p.next = p.lastPrevIndex + 1\n			r.replicateTo(to, true)\n",
+		tests:       test("./tests/simulation/membership", "TestThinLinks"),
+		want:        "want 12000 at most",
+	},
 }
--- a/tests/simulation/membership/thin_links_test.go
+++ b/tests/simulation/membership/thin_links_test.go
@@ -26,7 +26,7 @@
 	thinLinkStart  = 6000
 	// maxCatchUp is how long a member that was away, or is new, may take until it has
 	// what was committed when it came, in ms.
-	maxCatchUp = 30000
+	maxCatchUp = 12000
 )
 
 // thinLinkRun is a cluster on thin links with a large catalog that changes all the time.
