--- a/internal/controlplane/withdrawal.go
+++ b/internal/controlplane/withdrawal.go
@@ -19,8 +19,10 @@
 	// drainOrderDelay is how long a leader keeps an order before it proposes it: long
 	// enough to read what came with it.
 	drainOrderDelay clock.Millis = 25
-	// maxDelayedOrders bounds the orders that are kept.
+	// maxDelayedOrders bounds the orders that are kept, and maxDelayedBody the body of
+	// each, in bytes; such an order names an operation, at most.
 	maxDelayedOrders = 256
+	maxDelayedBody   = 4 << 10
 )
 
 // delayedOrder is an order that the leader has yet to carry out.
@@ -29,9 +31,10 @@
 	dueAt   clock.Monotonic
 }
 
-// delayOrder keeps an order for a moment, and reports whether it does.
+// delayOrder keeps an order for a moment, and reports whether it does. One beyond the
+// bounds is carried out at once.
 func (s *Server) delayOrder(r *apiRequest) bool {
-	if !endpoint.Withdrawable(r.Method, r.Path) || len(s.delayedOrders) >= maxDelayedOrders {
+	if !endpoint.Withdrawable(r.Method, r.Path) || len(r.Body) > maxDelayedBody || len(s.delayedOrders) >= maxDelayedOrders {
 		return false
 	}
 	s.delayedOrders = append(s.delayedOrders, delayedOrder{r, s.now.Add(drainOrderDelay)})
--- a/internal/controlplane/withdrawal_test.go
+++ b/internal/controlplane/withdrawal_test.go
@@ -96,3 +96,34 @@
 		t.Errorf("answered %+v, %d drains", response, cluster.drains())
 	}
 }
+
+// TestDelayedOrdersBounded checks that a leader keeps orders only up to a bound, in number
+// and in bytes, and answers those beyond it at once.
+func TestDelayedOrdersBounded(t *testing.T) {
+	const tooMany = 300
+	cluster := newTestCluster(t, 1, 0)
+	large := cluster.sendToServer(wire.Request{Method: http.MethodPut, Path: drainOfNowhere, Body: make([]byte, 5<<10), Budget: requestTimeout})
+	var ids []uint64
+	for range tooMany {
+		ids = append(ids, cluster.sendToServer(wire.Request{Method: http.MethodDelete, Path: drainOfNowhere, Budget: requestTimeout}))
+	}
+	cluster.run(15)
+	if response := cluster.responses[large]; response == nil || response.Status != http.StatusBadRequest {
+		t.Errorf("a large body is answered %+v", response)
+	}
+	answered := 0
+	for _, id := range ids {
+		if cluster.responses[id] != nil {
+			answered++
+		}
+	}
+	if answered != tooMany-256 {
+		t.Errorf("%d of %d orders are answered at once, want those beyond 256", answered, tooMany)
+	}
+	cluster.run(100)
+	for _, id := range ids {
+		if cluster.responses[id] == nil {
+			t.Fatalf("order %d has no answer", id)
+		}
+	}
+}
