--- a/tests/simulation/scenarios/delayed_orders_test.go
+++ b/tests/simulation/scenarios/delayed_orders_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"testing"
 
@@ -198,6 +197,47 @@
 	}
 }
 
+// checkOpen wants the domain that was reopened in a run to be open, if that was before the
+// first copy of the order to drain it was let go.
+func (s delayedOrder) checkOpen(t *testing.T, cluster *simulation.Cluster, late bool) {
+	t.Helper()
+	leader := cluster.Leader()
+	if leader == nil {
+		t.Fatalf("seed %d, offset %d: nobody leads in the end", s.seed, s.offset)
+	}
+	for _, drain := range leader.Machine.State().Drains {
+		if late && drain.Stage.Cordons() {
+			t.Errorf("seed %d, offset %d: the domain that was reopened is %s again", s.seed, s.offset, drain.Stage)
+		}
+	}
+}
+
+// checkCancelled wants the job that was cancelled in a run to be so, likewise.
+func (s delayedOrder) checkCancelled(t *testing.T, cluster *simulation.Cluster, key identifier.JobKey, late bool) {
+	t.Helper()
+	leader := cluster.Leader()
+	if leader == nil {
+		t.Fatalf("seed %d, offset %d: nobody leads in the end", s.seed, s.offset)
+	}
+	j := leader.Machine.State().Jobs[key]
+	if late && j != nil && j.EndState != state.Cancelled {
+		t.Errorf("seed %d, offset %d: the job that was cancelled is %s", s.seed, s.offset, j.State())
+	}
+}
+
+// lateJob is a job that is cancelled while its submission is on its way.
+const lateJob identifier.JobKey = "gilde/late"
+
+// lateJobText is the job as it is submitted.
+func lateJobText(t *testing.T) []byte {
+	t.Helper()
+	body, err := json.Marshal(map[string]any{"pending": "default", "steps": []map[string]any{{"name": "s", "tasks": 1, "spanMs": 60000}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return body
+}
+
 // TestDelayedDrainOrder: an order to drain a domain is sent, given up after a second,
 // sent again, acknowledged and withdrawn; then its first copy, delayed in a frozen
 // process or on a stalled link, arrives. The domain stays open.
@@ -205,11 +245,7 @@
 	t.Parallel()
 	eachDelayedOrder(t, 2, func(t *testing.T, s delayedOrder) bool {
 		cluster, late := s.sendAndWithdraw(http.MethodPut, endpoint.DrainPath("east"), nil, http.MethodDelete)
-		for _, c := range cluster.Leader().Machine.State().Drains {
-			if late && c.Stage.Cordons() {
-				t.Errorf("seed %d, offset %d: the domain that was reopened is %s again", s.seed, s.offset, c.Stage)
-			}
-		}
+		s.checkOpen(t, cluster, late)
 		return late
 	})
 }
@@ -237,16 +273,10 @@
 // then its first copy arrives. It does not run.
 func TestDelayedJob(t *testing.T) {
 	t.Parallel()
-	body, err := json.Marshal(map[string]any{"pending": "default", "steps": []map[string]any{{"name": "s", "tasks": 1, "spanMs": 60000}}})
-	if err != nil {
-		t.Fatal(err)
-	}
+	body := lateJobText(t)
 	eachDelayedOrder(t, 1, func(t *testing.T, s delayedOrder) bool {
-		cluster, late := s.sendAndCancel(http.MethodPut, "/v1/jobs/gilde/late", body)
-		j := cluster.Leader().Machine.State().Jobs[identifier.NewJobKey("gilde", "late")]
-		if late && j != nil && j.EndState != state.Cancelled {
-			t.Errorf("seed %d, offset %d: the job that was cancelled is %s", s.seed, s.offset, fmt.Sprint(j.State()))
-		}
+		cluster, late := s.sendAndCancel(http.MethodPut, endpoint.JobPath(lateJob), body)
+		s.checkCancelled(t, cluster, lateJob, late)
 		return late
 	})
 }
--- a/tests/simulation/scenarios/slow_process_test.go
+++ b/tests/simulation/scenarios/slow_process_test.go
@@ -1,14 +1,11 @@
 package scenarios
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
 
 	"orchidward/internal/api/endpoint"
-	"orchidward/internal/api/identifier"
-	"orchidward/internal/state"
 	"orchidward/tests/simulation"
 )
 
@@ -93,13 +90,7 @@
 	eachSlowProcess(t, func(t *testing.T, s delayedOrder) bool {
 		cluster, late := s.sendAndWithdraw(http.MethodPut, endpoint.DrainPath("east"), nil, http.MethodDelete)
 		readAll(cluster)
-		if leader := cluster.Leader(); leader != nil {
-			for _, drain := range leader.Machine.State().Drains {
-				if late && drain.Stage.Cordons() {
-					t.Errorf("seed %d: the domain that was reopened is %s again", s.seed, drain.Stage)
-				}
-			}
-		}
+		s.checkOpen(t, cluster, late)
 		return late
 	})
 }
@@ -108,19 +99,11 @@
 // does not run.
 func TestSlowProcessJob(t *testing.T) {
 	t.Parallel()
-	body, err := json.Marshal(map[string]any{"pending": "default", "steps": []map[string]any{{"name": "s", "tasks": 1, "spanMs": 60000}}})
-	if err != nil {
-		t.Fatal(err)
-	}
+	body := lateJobText(t)
 	eachSlowProcess(t, func(t *testing.T, s delayedOrder) bool {
-		cluster, late := s.sendAndCancel(http.MethodPut, "/v1/jobs/gilde/late", body)
+		cluster, late := s.sendAndCancel(http.MethodPut, endpoint.JobPath(lateJob), body)
 		readAll(cluster)
-		if leader := cluster.Leader(); leader != nil {
-			j := leader.Machine.State().Jobs[identifier.NewJobKey("gilde", "late")]
-			if late && j != nil && j.EndState != state.Cancelled {
-				t.Errorf("seed %d: the job that was cancelled is %s", s.seed, j.State())
-			}
-		}
+		s.checkCancelled(t, cluster, lateJob, late)
 		return late
 	})
 }
