Tenants in the catalogue: read, merged by name, read back

What callers saw: a PATCH of tenants was acknowledged and not read back (CONFIG, 'content that was never acked under that number'), and a configuration in which two tenants share a key was acknowledged. Cause: tenants were a part of the configuration that the catalogue did not know. A whole configuration kept them as source; what a patch said of them took part in its checksum and in nothing else. Change: catalog.Tenant with name, API keys, weight and quota, replaced, added and dropped by name like queues and pools; names and keys are each one tenant's; from TenantLevel on, before which a change that has tenants is to be sent again (503). Keys write themselves as redacted, and are not among what is published.

--- a/internal/api/catalog/catalog.go
+++ b/internal/api/catalog/catalog.go
@@ -20,10 +20,12 @@
 	MaxAttempts int64 `json:"tries"`
 	// A job is to be done within its critical path times LatencyFactor, which is in
 	// thousandths, and LatencyTarget.
-	LatencyFactor int64           `json:"stretch"`
-	LatencyTarget clock.Millis    `json:"setPointMs"`
-	Timeout       clock.Millis    `json:"timeoutMs"`
-	Source        json.RawMessage `json:"source,omitempty"`
+	LatencyFactor int64        `json:"stretch"`
+	LatencyTarget clock.Millis `json:"setPointMs"`
+	Timeout       clock.Millis `json:"timeoutMs"`
+	// Keyless says that requests for the queue need no API key of a tenant.
+	Keyless bool            `json:"keyless,omitempty"`
+	Source  json.RawMessage `json:"source,omitempty"`
 }
 
 // Pool is the runners that serve some queues.
@@ -39,9 +41,17 @@
 // Catalog is one version of the configuration. It is not changed in place: With returns
 // the next version.
 type Catalog struct {
-	Version uint64          `json:"version"`
-	Queues  []Queue         `json:"queues"`
-	Pools   []Pool          `json:"pools"`
+	Version uint64  `json:"version"`
+	Queues  []Queue `json:"queues"`
+	Pools   []Pool  `json:"pools"`
+	// Tenants are those whose API keys are known, nil in a catalogue without tenants.
+	Tenants []Tenant `json:"tenants,omitempty"`
+	// Authenticated says that requests for queues that are not keyless must bear a
+	// tenant's API key.
+	Authenticated bool `json:"authenticated,omitempty"`
+	// KeySalt is the secret by which digests of API keys are made, set with the first
+	// tenants.
+	KeySalt []byte          `json:"keySalt,omitempty"`
 	Source  json.RawMessage `json:"source,omitempty"`
 	// LegacyRecords are the last accepted changes while Dedup is nil.
 	LegacyRecords []LegacyRecord `json:"taken,omitempty"`
@@ -54,6 +64,8 @@
 	MaxQueues = 16384
 	// MaxPools bounds the pools of a catalogue.
 	MaxPools = 1024
+	// MaxTenants bounds the tenants of a catalogue.
+	MaxTenants = 1024
 )
 
 // Deduplicated is the same catalogue with a Dedup in place of legacy records.
@@ -67,11 +79,18 @@
 	return &next
 }
 
-// Published is what operators read: the catalogue without its memory of changes.
+// Published is what operators read: the catalogue without its memory of changes and without
+// API keys, except where they stand in what an operator sent along as source.
 func (c *Catalog) Published() Catalog {
 	published := *c
 	published.LegacyRecords = nil
 	published.Dedup = nil
+	published.KeySalt = nil
+	published.Tenants = nil
+	for _, tenant := range c.Tenants {
+		tenant.Keys = nil
+		published.Tenants = append(published.Tenants, tenant)
+	}
 	return published
 }
 
@@ -97,3 +116,15 @@
 	}
 	return &c.Queues[i]
 }
+
+// Tenant finds a tenant by name, nil when there is none.
+func (c *Catalog) Tenant(name string) *Tenant {
+	i := slices.IndexFunc(c.Tenants, func(t Tenant) bool { return t.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return &c.Tenants[i]
+}
+
+// Protected tells whether requests for the queue must bear a tenant's API key.
+func (c *Catalog) Protected(q *Queue) bool { return c.Authenticated && !q.Keyless }
--- a/internal/api/catalog/catalog_test.go
+++ b/internal/api/catalog/catalog_test.go
@@ -68,7 +68,11 @@
 
 // TestFind: the longest prefix under the host, whatever its case and port.
 func TestFind(t *testing.T) {
-	routes := NewRouteMap(4, []Route{{"a", "h.example", "/x/"}, {"b", "h.example", "/x/y/"}, {"c", "other", "/"}})
+	routes := NewRouteMap(4, []Route{
+		{Queue: "a", Host: "h.example", Prefix: "/x/"},
+		{Queue: "b", Host: "h.example", Prefix: "/x/y/"},
+		{Queue: "c", Host: "other", Prefix: "/"},
+	})
 	for _, c := range []struct{ host, path, queue, rest string }{
 		{"h.example", "/x/1", "a", "1"},
 		{"H.Example:80", "/x/y/2", "b", "2"},
--- a/internal/api/catalog/change.go
+++ b/internal/api/catalog/change.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"io"
+	"slices"
 
 	"orchidward/internal/api/jsondoc"
 )
@@ -17,23 +18,30 @@
 	Base    uint64 `json:"base"`
 	Version uint64 `json:"version"`
 	// Whole says that the change replaces the whole catalogue.
-	Whole      bool            `json:"whole,omitempty"`
-	Queues     []Queue         `json:"queues,omitempty"`
-	Pools      []Pool          `json:"pools,omitempty"`
-	DropQueues []string        `json:"dropQueues,omitempty"`
-	DropPools  []string        `json:"dropPools,omitempty"`
-	Source     json.RawMessage `json:"source,omitempty"`
+	Whole      bool     `json:"whole,omitempty"`
+	Queues     []Queue  `json:"queues,omitempty"`
+	Pools      []Pool   `json:"pools,omitempty"`
+	DropQueues []string `json:"dropQueues,omitempty"`
+	DropPools  []string `json:"dropPools,omitempty"`
+	// Tenants, DropTenants and Authenticated are used from the level on that has tenants.
+	Tenants       []Tenant        `json:"tenants,omitempty"`
+	DropTenants   []string        `json:"dropTenants,omitempty"`
+	Authenticated bool            `json:"authenticated,omitempty"`
+	Source        json.RawMessage `json:"source,omitempty"`
 	// Checksum is that of the operator's text.
 	Checksum string `json:"sum"`
 }
 
 // wholeDocument is the JSON of a complete catalogue.
 type wholeDocument struct {
-	Base    *uint64         `json:"base"`
-	Version *uint64         `json:"version"`
-	Queues  []Queue         `json:"queues"`
-	Pools   []Pool          `json:"pools"`
-	Source  json.RawMessage `json:"source"`
+	Base    *uint64  `json:"base"`
+	Version *uint64  `json:"version"`
+	Queues  []Queue  `json:"queues"`
+	Pools   []Pool   `json:"pools"`
+	Tenants []Tenant `json:"tenants"`
+	// Authenticated is implied where there are tenants.
+	Authenticated bool            `json:"authenticated"`
+	Source        json.RawMessage `json:"source"`
 }
 
 // patchDocument is the JSON of a change of named items.
@@ -41,12 +49,14 @@
 	Base    *uint64 `json:"base"`
 	Version *uint64 `json:"version"`
 	Put     struct {
-		Queues []Queue `json:"queues"`
-		Pools  []Pool  `json:"pools"`
+		Queues  []Queue  `json:"queues"`
+		Pools   []Pool   `json:"pools"`
+		Tenants []Tenant `json:"tenants"`
 	} `json:"put"`
 	Drop struct {
-		Queues []string `json:"queues"`
-		Pools  []string `json:"pools"`
+		Queues  []string `json:"queues"`
+		Pools   []string `json:"pools"`
+		Tenants []string `json:"tenants"`
 	} `json:"drop"`
 	Source json.RawMessage `json:"source"`
 	// Rest has no effect. It is what else the operator's text has, so that changes which
@@ -61,7 +71,14 @@
 	if !decode(text, &doc, faults) {
 		return nil
 	}
-	change := &Change{Whole: true, Queues: doc.Queues, Pools: doc.Pools, Source: doc.Source}
+	change := &Change{
+		Whole:         true,
+		Queues:        doc.Queues,
+		Pools:         doc.Pools,
+		Tenants:       doc.Tenants,
+		Authenticated: doc.Authenticated || len(doc.Tenants) > 0,
+		Source:        doc.Source,
+	}
 	return change.complete(doc.Base, doc.Version, text, faults)
 }
 
@@ -77,7 +94,12 @@
 		Pools:      doc.Put.Pools,
 		DropQueues: doc.Drop.Queues,
 		DropPools:  doc.Drop.Pools,
-		Source:     doc.Source,
+
+		Tenants:       doc.Put.Tenants,
+		DropTenants:   doc.Drop.Tenants,
+		Authenticated: len(doc.Put.Tenants) > 0,
+
+		Source: doc.Source,
 	}
 	return change.complete(doc.Base, doc.Version, text, faults)
 }
@@ -116,6 +138,9 @@
 			faults.Invalid("pools", "want a name of 1 to %d bytes", maxNameBytes)
 		}
 	}
+	for i := range c.Tenants {
+		c.Tenants[i].check(faults)
+	}
 	hash := sha256.Sum256(text)
 	c.Checksum = hex.EncodeToString(hash[:checksumBytes])
 	return c
@@ -130,6 +155,12 @@
 	maxNumber     = 1 << 40
 )
 
+// TouchesTenants tells whether the change needs servers that know tenants.
+func (c *Change) TouchesTenants() bool {
+	keyless := slices.ContainsFunc(c.Queues, func(q Queue) bool { return q.Keyless })
+	return c.Authenticated || keyless || len(c.Tenants)+len(c.DropTenants) > 0
+}
+
 func (q *Queue) check(faults *jsondoc.FieldErrors) {
 	require := func(valid bool, key, message string) {
 		if !valid {
--- a/internal/api/catalog/merge.go
+++ b/internal/api/catalog/merge.go
@@ -14,10 +14,14 @@
 	if change.Whole {
 		next.Queues = change.Queues
 		next.Pools = change.Pools
+		next.Tenants = change.Tenants
+		next.Authenticated = change.Authenticated
 		next.Source = change.Source
 	} else {
 		next.Queues = merge(c.Queues, change.Queues, change.DropQueues, func(q Queue) string { return q.Name })
 		next.Pools = merge(c.Pools, change.Pools, change.DropPools, func(p Pool) string { return p.Name })
+		next.Tenants = merge(c.Tenants, change.Tenants, change.DropTenants, func(t Tenant) string { return t.Name })
+		next.Authenticated = c.Authenticated || change.Authenticated
 		next.Source = c.Source
 		if len(change.Source) > 0 {
 			next.Source = change.Source
@@ -26,6 +30,10 @@
 	if err := next.validate(c.Version); err != nil {
 		return nil, err
 	}
+	next.KeySalt = c.KeySalt
+	if next.KeySalt == nil && next.Authenticated {
+		next.KeySalt = newKeySalt(change)
+	}
 	next.remember(c, change)
 	return next, nil
 }
@@ -80,8 +88,8 @@
 	if c.Version <= previous {
 		return errors.New("the version is not above the current one")
 	}
-	if len(c.Queues) > MaxQueues || len(c.Pools) > MaxPools {
-		return errors.New("too many queues or pools")
+	if len(c.Queues) > MaxQueues || len(c.Pools) > MaxPools || len(c.Tenants) > MaxTenants {
+		return errors.New("too many queues, pools or tenants")
 	}
 	pools := map[string]bool{}
 	for _, p := range c.Pools {
@@ -105,5 +113,5 @@
 		names[q.Name] = true
 		routes[route] = true
 	}
-	return nil
+	return c.validateTenants()
 }
--- a/internal/api/catalog/routes.go
+++ b/internal/api/catalog/routes.go
@@ -11,13 +11,21 @@
 	Queue  string `json:"name"`
 	Host   string `json:"host"`
 	Prefix string `json:"prefix"`
+	// Protected says that requests must bear a tenant's API key.
+	Protected bool `json:"protected,omitempty"`
 }
 
 // Routes lists the routes of all queues, hosts in lower case.
 func (c *Catalog) Routes() []Route {
 	var routes []Route
-	for _, q := range c.Queues {
-		routes = append(routes, Route{Queue: q.Name, Host: strings.ToLower(q.Host), Prefix: q.Prefix})
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		routes = append(routes, Route{
+			Queue:     q.Name,
+			Host:      strings.ToLower(q.Host),
+			Prefix:    q.Prefix,
+			Protected: c.Protected(q),
+		})
 	}
 	return routes
 }
@@ -28,12 +36,17 @@
 	Version uint64
 	// byHost has the routes of each host, the longest prefix first.
 	byHost map[string][]Route
+	// protected are the queues whose requests must bear a tenant's API key.
+	protected map[string]bool
 }
 
 // NewRouteMap returns a map of the routes, whose hosts must be in lower case.
 func NewRouteMap(version uint64, routes []Route) *RouteMap {
-	m := &RouteMap{Version: version, byHost: map[string][]Route{}}
+	m := &RouteMap{Version: version, byHost: map[string][]Route{}, protected: map[string]bool{}}
 	for _, route := range routes {
+		if route.Protected {
+			m.protected[route.Queue] = true
+		}
 		m.byHost[route.Host] = append(m.byHost[route.Host], route)
 	}
 	for _, list := range m.byHost {
@@ -53,6 +66,9 @@
 	return "", "", false
 }
 
+// Protected tells whether requests for a queue must bear a tenant's API key.
+func (m *RouteMap) Protected(queue string) bool { return m.protected[queue] }
+
 // withoutPort removes the port of a host. An IPv6 address without a port ends in "]".
 func withoutPort(host string) string {
 	i := strings.LastIndexByte(host, ':')
--- /dev/null
+++ b/internal/api/catalog/tenant.go
@@ -0,0 +1,92 @@
+package catalog
+
+import (
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	"orchidward/internal/api/job"
+	"orchidward/internal/api/jsondoc"
+)
+
+// Tenant is a customer. Its jobs are those that were handed in with one of its API keys.
+type Tenant struct {
+	Name string `json:"name"`
+	// Keys are the API keys. A tenant without any hands nothing in.
+	Keys []APIKey `json:"keys,omitempty"`
+	// Weight is the jobs a second, in thousandths, that are the tenant's share when the
+	// runners are full.
+	Weight int64           `json:"weight"`
+	Quota  Quota           `json:"quota"`
+	Source json.RawMessage `json:"source,omitempty"`
+}
+
+// Quota bounds what a tenant may have running at once on all runners. A field of 0 is no
+// bound.
+type Quota struct {
+	MilliCores int64 `json:"milliCores,omitempty"`
+	// Mem is in mebibytes.
+	Mem  int64 `json:"memMb,omitempty"`
+	GPUs int64 `json:"gpus,omitempty"`
+}
+
+// idleShare is the part of a quota, as a divisor, below which a tenant may start any one
+// task more.
+const idleShare = 2
+
+// Admits tells whether a tenant that has used running may start more, which is so many
+// tasks. One task is admitted while less than half of the quota is used, however large it
+// is: otherwise a task of more than half of the quota might wait for ever.
+func (q Quota) Admits(used, more job.Demand, tasks int) bool {
+	after := used.Plus(more)
+	if within(after.CPU(), q.MilliCores) && within(after.Mem, q.Mem) && within(after.GPUs, q.GPUs) {
+		return true
+	}
+	idle := within(used.CPU()*idleShare, q.MilliCores) && within(used.Mem*idleShare, q.Mem) && within(used.GPUs*idleShare, q.GPUs)
+	return tasks == 1 && idle
+}
+
+// within tells whether an amount keeps a bound, of which 0 is none.
+func within(amount, bound int64) bool { return bound == 0 || amount <= bound }
+
+// Bounds of the fields of tenants.
+const (
+	maxKeys     = 64
+	maxKeyBytes = 256
+)
+
+func (t *Tenant) check(faults *jsondoc.FieldErrors) {
+	require := func(valid bool, key, message string) {
+		if !valid {
+			faults.Invalid("tenants."+t.Name+"."+key, "%s", message)
+		}
+	}
+	require(t.Name != "" && len(t.Name) <= maxNameBytes, "name", "want 1 to 128 bytes")
+	require(t.Weight > 0 && t.Weight < maxNumber, "weight", "want a number above 0")
+	require(len(t.Keys) <= maxKeys, "keys", "want 64 at most")
+	for _, key := range t.Keys {
+		require(key != "" && len(key) <= maxKeyBytes, "keys", "want keys of 1 to 256 bytes")
+	}
+	for _, bound := range []int64{t.Quota.MilliCores, t.Quota.Mem, t.Quota.GPUs} {
+		require(bound >= 0 && bound < maxNumber, "quota", "want numbers from 0")
+	}
+}
+
+// validateTenants checks that the tenants of a catalogue have names and keys of their own.
+func (c *Catalog) validateTenants() error {
+	names := map[string]bool{}
+	owners := map[APIKey]string{}
+	for _, tenant := range c.Tenants {
+		if names[tenant.Name] {
+			return errors.Errorf("two tenants are named %s", tenant.Name)
+		}
+		names[tenant.Name] = true
+		for _, key := range tenant.Keys {
+			if owner, taken := owners[key]; taken && owner != tenant.Name {
+				return errors.Errorf("tenants %s and %s share a key", owner, tenant.Name)
+			}
+			owners[key] = tenant.Name
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/api/catalog/tenant_test.go
@@ -0,0 +1,142 @@
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"orchidward/internal/api/job"
+	"orchidward/internal/api/jsondoc"
+)
+
+const tenantsText = `{"base":0,"version":3,"queues":[{"name":"a","host":"h","prefix":"/a/","pool":"x","timeoutMs":1},` +
+	`{"name":"b","host":"h","prefix":"/b/","pool":"x","timeoutMs":1,"keyless":true}],"pools":[{"name":"x"}],` +
+	`"tenants":[{"name":"t","keys":["first-key","second-key"],"weight":1000,"quota":{"milliCores":5}},{"name":"u","weight":1}]}`
+
+// readTenants is the catalogue of tenantsText.
+func readTenants(t *testing.T) *Catalog {
+	t.Helper()
+	var faults jsondoc.FieldErrors
+	change := ReadWhole([]byte(tenantsText), &faults)
+	if faults.Any() {
+		t.Fatal(faults.List)
+	}
+	next, err := (&Catalog{}).Deduplicated().With(change)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+// TestQuotaAdmits: a quota bounds each resource by itself, 0 is no bound, and one task may start below half of it.
+func TestQuotaAdmits(t *testing.T) {
+	cores := func(n int64) job.Demand { return job.Demand{MilliCores: n} }
+	for name, c := range map[string]struct {
+		quota Quota
+		used  job.Demand
+		more  job.Demand
+		tasks int
+		want  bool
+	}{
+		"up to the bound":          {Quota{MilliCores: 10}, cores(7), cores(3), 2, true},
+		"past the bound":           {Quota{MilliCores: 10}, cores(7), cores(4), 1, false},
+		"whole cores count":        {Quota{MilliCores: 1999}, job.Demand{}, job.Demand{Cores: 2}, 2, false},
+		"no bound":                 {Quota{}, cores(1 << 40), cores(1 << 40), 3, true},
+		"memory":                   {Quota{MilliCores: 10, Mem: 5}, job.Demand{Mem: 4}, job.Demand{Mem: 2}, 1, false},
+		"gpus":                     {Quota{GPUs: 1}, job.Demand{GPUs: 1}, job.Demand{GPUs: 1}, 1, false},
+		"one large task":           {Quota{MilliCores: 10}, cores(5), cores(50), 1, true},
+		"one large task past half": {Quota{MilliCores: 10}, cores(6), cores(50), 1, false},
+		"a large gang":             {Quota{MilliCores: 10}, cores(0), cores(50), 2, false},
+	} {
+		if got := c.quota.Admits(c.used, c.more, c.tasks); got != c.want {
+			t.Errorf("%s: %t", name, got)
+		}
+	}
+}
+
+// TestKeysAreFoundByDigest: a key leads to its tenant by its digest alone, and only that key does.
+func TestKeysAreFoundByDigest(t *testing.T) {
+	c := readTenants(t)
+	keys := NewKeyTable(c.KeySalt, c.TenantKeys())
+	for key, want := range map[APIKey]string{"first-key": "t", "second-key": "t", "third-key": "", "": "", "first-ke": ""} {
+		if tenant, ok := keys.Owner(keys.Digest(key)); tenant != want || ok != (want != "") {
+			t.Errorf("%q: %q %t", string(key), tenant, ok)
+		}
+	}
+	if _, ok := keys.Owner(""); ok {
+		t.Error("no digest leads to a tenant")
+	}
+	if _, ok := keys.Owner(keys.Digest("first-key").prefix()); ok {
+		t.Error("the beginning of a digest leads to a tenant")
+	}
+}
+
+// TestKeysStayOutOfSight: keys stand neither in what gateways are sent and operators read, nor in errors and logs.
+func TestKeysStayOutOfSight(t *testing.T) {
+	c := readTenants(t)
+	published := c.Published()
+	texts := []string{fmt.Sprint(c.Tenants), fmt.Sprintf("%+v %#v %s", c.Tenants, c.Tenants, c.Tenants[0].Keys)}
+	for _, document := range []any{&published, c.TenantKeys(), c.Routes()} {
+		text, err := json.Marshal(document)
+		if err != nil {
+			t.Fatal(err)
+		}
+		texts = append(texts, string(text))
+	}
+	for _, text := range texts {
+		if strings.Contains(text, "first-key") || strings.Contains(text, "second-key") {
+			t.Errorf("a key stands in %s", text)
+		}
+	}
+	if len(c.Tenants[0].Keys) != 2 || published.KeySalt != nil {
+		t.Errorf("the catalogue has lost its keys, or shows its salt: %+v", published)
+	}
+}
+
+// TestTenantsOfPatches: a patch adds, replaces and drops tenants by name, and the salt stays.
+func TestTenantsOfPatches(t *testing.T) {
+	var faults jsondoc.FieldErrors
+	c := readTenants(t)
+	patch := ReadPatch([]byte(`{"base":3,"version":4,"put":{"tenants":[{"name":"u","keys":["k"],"weight":2},{"name":"v","weight":1}]},"drop":{"tenants":["t"]}}`), &faults)
+	next, err := c.With(patch)
+	if err != nil || faults.Any() {
+		t.Fatal(err, faults.List)
+	}
+	if next.Tenant("t") != nil || next.Tenant("u").Weight != 2 || next.Tenant("v") == nil || string(next.KeySalt) != string(c.KeySalt) {
+		t.Errorf("%+v", next)
+	}
+	if !next.Protected(next.Queue("a")) || next.Protected(next.Queue("b")) {
+		t.Error("keyless queues are not told from others")
+	}
+	last, err := next.With(ReadPatch([]byte(`{"base":4,"version":5,"drop":{"tenants":["u","v"]}}`), &faults))
+	if err != nil || len(last.Tenants) != 0 || !last.Protected(last.Queue("a")) {
+		t.Errorf("without tenants: %+v, %v", last, err)
+	}
+}
+
+// TestFaultyTenantsRejected: two tenants never share a name or a key, and fields keep their bounds.
+func TestFaultyTenantsRejected(t *testing.T) {
+	c := readTenants(t)
+	for name, tenants := range map[string]string{
+		"shared key":    `{"name":"v","keys":["first-key"],"weight":1}`,
+		"no weight":     `{"name":"v"}`,
+		"empty key":     `{"name":"v","keys":[""],"weight":1}`,
+		"long key":      `{"name":"v","keys":["` + strings.Repeat("k", maxKeyBytes+1) + `"],"weight":1}`,
+		"no name":       `{"weight":1}`,
+		"negative cpu":  `{"name":"v","weight":1,"quota":{"milliCores":-1}}`,
+		"unknown field": `{"name":"v","weight":1,"colour":1}`,
+	} {
+		var faults jsondoc.FieldErrors
+		patch := ReadPatch([]byte(`{"base":3,"version":4,"put":{"tenants":[`+tenants+`]}}`), &faults)
+		if faults.Any() {
+			continue
+		}
+		if _, err := c.With(patch); err == nil || strings.Contains(err.Error(), "first-key") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := c.With(&Change{Version: 4, Tenants: []Tenant{{Name: "u", Keys: []APIKey{"k", "k"}, Weight: 1}}}); err != nil {
+		t.Errorf("a tenant's key given twice: %v", err)
+	}
+}
--- a/internal/controlplane/levels.go
+++ b/internal/controlplane/levels.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	"orchidward/internal/api/catalog"
 	"orchidward/internal/api/identifier"
 	"orchidward/internal/clock"
 	"orchidward/internal/state"
@@ -78,6 +79,11 @@
 	l.levelProposal = s.propose(&state.Command{RaiseLevel: &state.RaiseLevel{Level: to}})
 }
 
+// tenantsTooNew reports whether a change needs a level that the group has yet to reach.
+func (s *Server) tenantsTooNew(change *catalog.Change) bool {
+	return change.TouchesTenants() && s.state.Level < state.TenantLevel
+}
+
 // proposeChecksum lets the members compare the checksums of their states.
 func (s *Server) proposeChecksum() {
 	l := s.leader
--- a/internal/controlplane/replies.go
+++ b/internal/controlplane/replies.go
@@ -27,6 +27,7 @@
 	errQueuesTooNew   = apiError{http.StatusServiceUnavailable, codeLevel, "queues wait until every server has been upgraded", 500}
 	errAgentsTooNew   = apiError{http.StatusServiceUnavailable, codeLevel, "agents wait until every server has been upgraded", 500}
 	errPoliciesTooNew = apiError{http.StatusConflict, codeLevel, "policies wait until every server has been upgraded", 5000}
+	errTenantsTooNew  = apiError{http.StatusServiceUnavailable, codeLevel, "tenants wait until every server has been upgraded", 500}
 	errCatalogBusy    = apiError{http.StatusTooManyRequests, "catalog-busy", "too many changes under way", 500}
 	errLimitsBusy     = apiError{http.StatusTooManyRequests, "table-busy", "too many table changes under way", 500}
 	errRunnersFull    = apiError{http.StatusServiceUnavailable, "runners-full", "no room for another runner", 60000}
--- a/internal/controlplane/requests.go
+++ b/internal/controlplane/requests.go
@@ -171,6 +171,8 @@
 	case !ok:
 	case s.state.Level < state.CatalogLevel:
 		s.replyError(r.peer, r.ID, errQueuesTooNew)
+	case s.tenantsTooNew(change):
+		s.replyError(r.peer, r.ID, errTenantsTooNew)
 	case s.proposals.configChanges >= maxConfigChanges:
 		s.replyError(r.peer, r.ID, errCatalogBusy)
 	default:
--- a/internal/state/levels.go
+++ b/internal/state/levels.go
@@ -5,7 +5,7 @@
 // programs differ in version do the same with a command.
 const (
 	// SupportedLevel is the highest level that this program supports.
-	SupportedLevel = RackScopeLevel
+	SupportedLevel = TenantLevel
 
 	// ChecksumLevel is the level from which on the checksum is kept.
 	ChecksumLevel uint16 = 1
@@ -22,4 +22,7 @@
 	// RackScopeLevel is the level from which on the drain of a rack concerns just the
 	// runners that have announced that they leave and are not lost.
 	RackScopeLevel uint16 = 5
+	// TenantLevel is the level from which on a catalogue has tenants, and jobs belong to
+	// them.
+	TenantLevel uint16 = 6
 )
