API keys of tenants are checked by the gateway and again by the leader

Cause: nothing read a request's key. Change: a queue that is not keyless asks for a tenant's key. The digest goes with the request, and the leader finds the tenant by its own catalogue: a key that was taken away meanwhile gets 401 also where the gateway's table lags, and after an earlier try of unknown outcome 504. A job is its tenant's: others find no such job; a resend under another key of the same tenant is known, under another tenant's it conflicts. The tenant is no part of a job's checksum, so that jobs from before an upgrade are known again. A key is never in a message, a log or an error.

--- a/internal/api/endpoint/endpoint.go
+++ b/internal/api/endpoint/endpoint.go
@@ -70,6 +70,10 @@
 	MethodWithdraw = "WITHDRAW"
 )
 
+// CredentialParam is the parameter of a request between processes that holds the digest of
+// the API key which came with it. Gateways set it; what clients send under it is dropped.
+const CredentialParam = "credential"
+
 // Withdrawable reports whether a request is an order that has no number of its own, and
 // whose copies no server can therefore tell from a new order: to drain a zone, or to put
 // it back into use.
--- a/internal/api/job/spec.go
+++ b/internal/api/job/spec.go
@@ -26,6 +26,9 @@
 	Steps     []Step            `json:"steps"`
 	// Queue is a queue of the catalogue, empty for a job of a row.
 	Queue string `json:"queue,omitempty"`
+	// Tenant is whose API key the job was handed in with, empty for nobody's. The leader
+	// sets it.
+	Tenant string `json:"tenant,omitempty"`
 	// Payload is handed to whatever runs the tasks.
 	Payload string `json:"text,omitempty"`
 	// Repeat has the steps run many times, nil for once.
@@ -99,9 +102,12 @@
 // checksumBytes is the number of bytes kept of a SHA-256 hash.
 const checksumBytes = 12
 
-// Checksum identifies the content: the hash of the normal form.
+// Checksum identifies the content: the hash of the normal form, without whose job it is, so
+// that a job keeps its checksum when its cluster comes to have tenants.
 func (s *Spec) Checksum() string {
-	text, err := json.Marshal(s)
+	content := *s
+	content.Tenant = ""
+	text, err := json.Marshal(&content)
 	if err != nil {
 		panic(fmt.Sprintf("job: a spec must always encode: %v", err))
 	}
--- a/internal/controlplane/gateway_sync.go
+++ b/internal/controlplane/gateway_sync.go
@@ -16,11 +16,12 @@
 // is fetched by the gateway, once for all its requests.
 const maxStalePageBytes = 4 << 10
 
-// routingState is the history of the routing table, and the catalogue that it was last
-// told of.
+// routingState is the history of the routing table, the catalogue that it was last told of,
+// and the keys of that catalogue's tenants.
 type routingState struct {
 	history *routing.History
 	catalog *catalog.Catalog
+	keys    *catalog.KeyTable
 }
 
 // routingTable is the table in force.
@@ -29,29 +30,37 @@
 	if c := s.state.Catalog; c != nil {
 		table.Version = c.Version
 		table.Routes = c.Routes()
+		table.Tenants = c.TenantKeys()
+		table.KeySalt = c.KeySalt
 	}
 	return table
 }
 
 func (s *Server) fullRoutingTable() *routing.FullTable {
 	table := s.routingTable()
-	return &routing.FullTable{Epoch: table.Epoch, Rows: table.Rows, Version: table.Version, Routes: table.Routes}
+	return &routing.FullTable{
+		Epoch: table.Epoch, Rows: table.Rows, Version: table.Version,
+		Routes: table.Routes, Tenants: table.Tenants, KeySalt: table.KeySalt,
+	}
 }
 
 // trackRouting tells the history what the last entry changed.
 func (s *Server) trackRouting() {
 	r := &s.routing
-	switch {
-	case r.history == nil || s.state.Limits.Epoch < r.history.Epoch():
-		r.history = routing.NewHistory(s.routingTable())
-	case s.state.Limits.Epoch == r.history.Epoch():
+	if r.history != nil && s.state.Limits.Epoch == r.history.Epoch() {
 		return
+	}
+	table := s.routingTable()
+	switch {
+	case r.history == nil || table.Epoch < r.history.Epoch():
+		r.history = routing.NewHistory(table)
 	case s.state.Catalog != r.catalog:
-		r.history.RoutesChanged(s.routingTable())
+		r.history.CatalogChanged(table)
 	default:
-		r.history.RowsChanged(s.routingTable())
+		r.history.RowsChanged(table)
 	}
 	r.catalog = s.state.Catalog
+	r.keys = catalog.NewKeyTable(table.KeySalt, table.Tenants)
 }
 
 // forgetRouting begins the history anew, as the state was replaced.
--- a/internal/controlplane/replies.go
+++ b/internal/controlplane/replies.go
@@ -37,6 +37,7 @@
 	errJoinIncomplete = apiError{http.StatusUnprocessableEntity, "unprocessable", "join lacks an identity or an address", 0}
 	errQueryMalformed = apiError{http.StatusBadRequest, codeBadRequest, "query does not parse", 0}
 	errPageSize       = apiError{http.StatusBadRequest, codeBadRequest, "limit wants a number from 1 to 1000", 0}
+	errNoKey          = apiError{http.StatusUnauthorized, "unauthenticated", "the request needs the API key of a tenant", 0}
 	errNoJob          = apiError{http.StatusNotFound, "no-job", "no such job", 0}
 	errNoQueue        = apiError{http.StatusNotFound, "no-queue", "no such queue", 0}
 	errNoCatalog      = apiError{http.StatusNotFound, "no-catalog", "there is no catalogue yet", 0}
--- a/internal/controlplane/requests.go
+++ b/internal/controlplane/requests.go
@@ -77,19 +77,12 @@
 
 // serve carries out a request by its endpoint.
 func (s *Server) serve(r *apiRequest) {
+	if other := s.serveTenant(r); !other {
+		return
+	}
 	switch r.endpoint.Kind {
 	case endpoint.ListJobs:
 		s.replyJobList(r)
-	case endpoint.GetJob:
-		s.replyJob(r, r.endpoint.JobKey())
-	case endpoint.SubmitJob:
-		s.submitJob(r, r.endpoint.JobKey())
-	case endpoint.CancelJob:
-		s.cancelJob(r, r.endpoint.JobKey())
-	case endpoint.GetJobState:
-		s.replyJobState(r, r.endpoint.JobKey())
-	case endpoint.GetQueue:
-		s.replyQueue(r, r.endpoint.Name)
 	case endpoint.GetCatalog:
 		s.replyCatalog(r)
 	case endpoint.ReplaceCatalog:
@@ -121,7 +114,8 @@
 	}
 }
 
-func (s *Server) submitJob(r *apiRequest, key identifier.JobKey) {
+// submitJob proposes a job of a tenant, empty for a job of nobody.
+func (s *Server) submitJob(r *apiRequest, key identifier.JobKey, tenant string) {
 	var faults jsondoc.FieldErrors
 	spec := job.Read(r.Body, &faults)
 	if faults.Any() {
@@ -136,6 +130,9 @@
 		s.replyError(r.peer, r.ID, errTimeUnsure)
 		return
 	}
+	if spec.Queue != "" {
+		spec.Tenant = tenant
+	}
 	s.proposeFor(r, &state.Command{SubmitJob: &state.SubmitJob{Key: key, Spec: *spec}})
 }
 
--- /dev/null
+++ b/internal/gateway/authentication.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"net/http"
+	"net/url"
+
+	"orchidward/internal/api/catalog"
+	"orchidward/internal/api/endpoint"
+)
+
+const (
+	messageUnauthenticated = "the request needs the API key of a tenant"
+	messageKeysBehind      = "this gateway has yet to learn the newest keys"
+)
+
+// authenticate checks that a request for a queue bears the API key of a tenant, where the
+// queue asks for one. The leader checks once more, by the digest of the key that it is sent:
+// this table may be older than its own. A request without a valid key is answered here.
+func (g *Gateway) authenticate(r *request) bool {
+	if r.Queue == "" {
+		return true
+	}
+	r.Query = withCredential(r.Query, "")
+	owned := false
+	if r.Credential != "" {
+		digest := g.routing.keys.Digest(r.Credential)
+		if _, owned = g.routing.keys.Owner(digest); owned {
+			r.Query = withCredential(r.Query, digest)
+		}
+	}
+	if owned || g.routing.routeMap == nil || !g.routing.routeMap.Protected(r.Queue) {
+		return true
+	}
+	switch {
+	case r.outcomeUnknown && r.Method != http.MethodGet:
+		g.replyUnknown(r.ID)
+	case g.Behind():
+		g.replyError(r.ID, http.StatusServiceUnavailable, codeKeysBehind, messageKeysBehind, retryAfterFailure)
+	default:
+		g.replyError(r.ID, http.StatusUnauthorized, codeUnauthenticated, messageUnauthenticated, 0)
+	}
+	return false
+}
+
+// withCredential is what can be read of a query, with the digest of the request's key in place of any other.
+func withCredential(query string, digest catalog.KeyDigest) string {
+	values, _ := url.ParseQuery(query)
+	values.Del(endpoint.CredentialParam)
+	if digest != "" {
+		values.Set(endpoint.CredentialParam, string(digest))
+	}
+	return values.Encode()
+}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"orchidward/internal/api/catalog"
 	"orchidward/internal/api/endpoint"
 	"orchidward/internal/api/identifier"
 	"orchidward/internal/api/jsondoc"
@@ -35,6 +36,11 @@
 	Body   []byte
 	Budget clock.Millis
 	Waited clock.Millis
+	// Queue is the queue of the catalogue that the request is for, where its path does not
+	// say so; a job names its queue itself. Credential is the tenant's API key that came
+	// with the request.
+	Queue      string
+	Credential catalog.APIKey
 }
 
 // Idempotent reports whether the request may be sent to a leader again when it is not
--- a/internal/gateway/fake_leader_test.go
+++ b/internal/gateway/fake_leader_test.go
@@ -51,7 +51,7 @@
 			l.table.Routes[i].Prefix = prefix
 		}
 	}
-	l.history.RoutesChanged(l.table)
+	l.history.CatalogChanged(l.table)
 }
 
 // answerSyncs answers the syncs in an output and returns the other messages.
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -22,6 +22,9 @@
 	codeStalled    = "woken"
 	codeBusy       = "busy"
 	codeNoAnswer   = "no-answer"
+
+	codeUnauthenticated = "unauthenticated"
+	codeKeysBehind      = "keys-behind"
 )
 
 const messageOutOfTouch = "this gateway has lost contact with the control plane"
@@ -70,8 +73,8 @@
 	}
 }
 
-// validate checks what can be judged here: the form of the request, and the limits of its
-// row. A request with faults is answered here.
+// validate checks what can be judged here: the form of the request, the limits of its row,
+// and its API key. A request with faults is answered here.
 func (g *Gateway) validate(r *request) bool {
 	var faults jsondoc.FieldErrors
 	// A path or method that the API lacks is refused by the leader.
@@ -81,7 +84,7 @@
 	}
 	switch target.Kind {
 	case endpoint.SubmitJob:
-		g.validateJob(target, r.Body, &faults)
+		g.validateJob(r, target, &faults)
 	case endpoint.PollRunner:
 		if !identifier.ValidName(target.Name) {
 			faults.Invalid("path", "runner's name wants 1 to 64 letters, digits, '.', '-' or '_'")
@@ -96,17 +99,21 @@
 		g.reply(Response{ID: r.ID, Status: faults.Status(), Body: faults.ErrorBody()})
 		return false
 	}
-	return true
+	return g.authenticate(r)
 }
 
-func (g *Gateway) validateJob(target endpoint.Endpoint, body []byte, faults *jsondoc.FieldErrors) {
+func (g *Gateway) validateJob(r *request, target endpoint.Endpoint, faults *jsondoc.FieldErrors) {
 	for _, name := range []string{string(target.Client), string(target.JobID)} {
 		if !identifier.ValidName(name) {
 			faults.Invalid("path", "agent and job id want 1 to 64 letters, digits, '.', '-' or '_'")
 		}
 	}
-	spec := job.Read(body, faults)
-	if spec != nil && !faults.Any() && spec.Queue == "" {
+	spec := job.Read(r.Body, faults)
+	if spec == nil || faults.Any() {
+		return
+	}
+	r.Queue = spec.Queue
+	if spec.Queue == "" {
 		g.routing.rules.Check(spec, admission.WaitingUnknown, faults)
 	}
 }
@@ -173,8 +180,7 @@
 		r.outcomeUnknown = true
 		r.retryAt = g.now.Add(retryInterval)
 	case r.outcomeUnknown && r.Method != http.MethodGet && response.IsRefusal():
-		g.replyError(r.ID, http.StatusGatewayTimeout, codeNoAnswer,
-			"an earlier try may have been taken; the outcome is not known", retryAfterUnknown)
+		g.replyUnknown(r.ID)
 	default:
 		g.reply(Response{ID: r.ID, Status: response.Status, Body: response.Body, RetryAfter: response.RetryAfter})
 	}
@@ -237,6 +243,13 @@
 	g.replyError(id, http.StatusServiceUnavailable, code, message, retryAfterFailure)
 }
 
+// replyUnknown answers an order that is refused now, of which an earlier try may have been
+// taken.
+func (g *Gateway) replyUnknown(id uint64) {
+	g.replyError(id, http.StatusGatewayTimeout, codeNoAnswer,
+		"an earlier try may have been taken; the outcome is not known", retryAfterUnknown)
+}
+
 func (g *Gateway) replyError(id uint64, status int, code, message string, retryAfter clock.Millis) {
 	g.Counts.Refused++
 	response := ErrorResponse(status, code, message, retryAfter)
--- a/internal/gateway/routing_copy.go
+++ b/internal/gateway/routing_copy.go
@@ -16,6 +16,8 @@
 	rules *admission.Rules
 	// routeMap finds the queues of the catalogue, nil while there is none.
 	routeMap *catalog.RouteMap
+	// keys finds tenants by their API keys.
+	keys *catalog.KeyTable
 	// behindSince is since when the leader is known to have a newer table, 0 when this
 	// one is the newest that is known.
 	behindSince clock.Monotonic
@@ -52,6 +54,7 @@
 // compile makes the rules and routes of the table that the replica has come to.
 func (c *routingCopy) compile() {
 	c.rules = admission.Compile(&limits.Table{Epoch: c.replica.Epoch(), Rows: c.replica.Rows()})
+	c.keys = catalog.NewKeyTable(c.replica.KeySalt(), c.replica.Tenants())
 	c.routeMap = nil
 	if c.replica.Version() > 0 {
 		c.routeMap = catalog.NewRouteMap(c.replica.Version(), c.replica.Routes())
@@ -60,7 +63,7 @@
 
 // replaceTable takes a newer table in place of this one; an older one never replaces it.
 func (g *Gateway) replaceTable(table *routing.FullTable) {
-	g.useTable(g.routing.replica.Replace(routing.Table{Epoch: table.Epoch, Version: table.Version, Rows: table.Rows, Routes: table.Routes}))
+	g.useTable(g.routing.replica.Replace(table.Table()))
 }
 
 // useTable puts the table into use that the replica has come to, if it changed.
--- a/internal/routing/documents.go
+++ b/internal/routing/documents.go
@@ -35,11 +35,21 @@
 	Page *Page `json:"page,omitempty"`
 }
 
-// FullTable is a Table as a document: the limits by row, and the routes of the
-// catalogue's queues. Version is the catalogue's, 0 while there is none.
+// FullTable is a Table as a document: the limits by row, the routes of the catalogue's
+// queues, and the digests of its tenants' keys. Version is the catalogue's, 0 while there is none.
 type FullTable struct {
 	Epoch   identifier.Epoch                     `json:"epoch"`
 	Rows    map[identifier.Row]map[string]string `json:"rows"`
 	Version uint64                               `json:"version,omitempty"`
 	Routes  []catalog.Route                      `json:"places,omitempty"`
+	Tenants []catalog.TenantKeys                 `json:"tenants,omitempty"`
+	KeySalt []byte                               `json:"keySalt,omitempty"`
+}
+
+// Table is the table that the document stands for.
+func (t *FullTable) Table() Table {
+	return Table{
+		Epoch: t.Epoch, Version: t.Version, Rows: t.Rows,
+		Routes: t.Routes, Tenants: t.Tenants, KeySalt: t.KeySalt,
+	}
 }
--- a/internal/routing/history.go
+++ b/internal/routing/history.go
@@ -16,13 +16,36 @@
 	maxInsertions = 16
 )
 
-// item is a route and the epoch of its last change. A dropped one has no route.
+// tenantPrefix begins the names of items that are tenants. It comes before all names of
+// routes.
+const tenantPrefix = "\x00"
+
+// item is a route or a tenant's keys, and the epoch of its last change. A dropped one has
+// neither.
 type item struct {
 	route     catalog.Route
+	keys      catalog.TenantKeys
 	changedAt identifier.Epoch
 	dropped   bool
 }
 
+// same reports whether two items that are not dropped say the same.
+func (i item) same(other item) bool {
+	return i.route == other.route && slices.Equal(i.keys.Digests, other.keys.Digests)
+}
+
+// items lists the items of a table by their names.
+func (t *Table) items() map[string]item {
+	items := make(map[string]item, len(t.Routes)+len(t.Tenants))
+	for _, route := range t.Routes {
+		items[route.Queue] = item{route: route, changedAt: t.Epoch}
+	}
+	for _, keys := range t.Tenants {
+		items[tenantPrefix+keys.Tenant] = item{keys: keys, changedAt: t.Epoch}
+	}
+	return items
+}
+
 // History lists what changed since any epoch from its horizon on. Every replica of the
 // state keeps one as it applies entries, so that a new leader can list changes since
 // before its own start.
@@ -31,8 +54,8 @@
 	// horizon is the epoch before which the history does not reach back.
 	horizon       identifier.Epoch
 	rowsChangedAt identifier.Epoch
-	// items holds each route by its name, dropped ones included, and names the keys
-	// of items in order.
+	// items holds each route and each tenant by its name, dropped ones included, and
+	// names the keys of items in order.
 	items   map[string]item
 	names   []string
 	dropped int
@@ -41,7 +64,7 @@
 // NewHistory begins with a table and knows of no change before it.
 func NewHistory(t Table) *History {
 	h := &History{horizon: t.Epoch, rowsChangedAt: t.Epoch, items: map[string]item{}}
-	h.RoutesChanged(t)
+	h.CatalogChanged(t)
 	return h
 }
 
@@ -51,16 +74,19 @@
 // RowsChanged takes a newer table of which only the rows changed.
 func (h *History) RowsChanged(t Table) {
 	t.Routes = h.table.Routes
+	t.Tenants = h.table.Tenants
+	t.KeySalt = h.table.KeySalt
 	t.Version = h.table.Version
 	h.table = t
 	h.rowsChangedAt = t.Epoch
 }
 
-// RoutesChanged takes a newer table of which only the routes changed.
-func (h *History) RoutesChanged(t Table) {
+// CatalogChanged takes a newer table of which only the routes and tenants changed.
+func (h *History) CatalogChanged(t Table) {
 	h.table = t
-	added := h.recordPresent(t)
-	h.recordDropped(t)
+	present := t.items()
+	added := h.recordPresent(present)
+	h.recordDropped(present)
 	switch {
 	case h.dropped > maxDroppedItems:
 		h.compact()
@@ -72,35 +98,33 @@
 	}
 }
 
-// recordPresent records the routes of a table that are new or changed, and returns
-// the names that were not known.
-func (h *History) recordPresent(t Table) []string {
+// recordPresent records the items of a table that are new or changed, and returns the
+// names that were not known, in order.
+func (h *History) recordPresent(present map[string]item) []string {
 	var added []string
-	for _, route := range t.Routes {
-		last, known := h.items[route.Queue]
-		if known && !last.dropped && last.route == route {
+	for name, current := range present {
+		last, known := h.items[name]
+		if known && !last.dropped && last.same(current) {
 			continue
 		}
 		if last.dropped {
 			h.dropped--
 		}
 		if !known {
-			added = append(added, route.Queue)
+			added = append(added, name)
 		}
-		h.items[route.Queue] = item{route: route, changedAt: t.Epoch}
+		h.items[name] = current
 	}
+	slices.Sort(added)
 	return added
 }
 
-// recordDropped records the routes that a table no longer has.
-func (h *History) recordDropped(t Table) {
-	present := make(map[string]bool, len(t.Routes))
-	for _, route := range t.Routes {
-		present[route.Queue] = true
-	}
+// recordDropped records the items that a table no longer has.
+func (h *History) recordDropped(present map[string]item) {
 	for _, name := range h.names {
-		if !h.items[name].dropped && !present[name] {
-			h.items[name] = item{changedAt: t.Epoch, dropped: true}
+		_, stays := present[name]
+		if !stays && !h.items[name].dropped {
+			h.items[name] = item{changedAt: h.table.Epoch, dropped: true}
 			h.dropped++
 		}
 	}
@@ -141,7 +165,7 @@
 	if since < h.horizon || since > h.table.Epoch {
 		since = 0
 	}
-	p := Page{Since: since, Epoch: h.table.Epoch, Version: h.table.Version}
+	p := Page{Since: since, Epoch: h.table.Epoch, Version: h.table.Version, KeySalt: h.table.KeySalt}
 	if after == "" && (since == 0 || h.rowsChangedAt > since) {
 		p.Rows = h.table.Rows
 	}
@@ -156,7 +180,7 @@
 		}
 		p.addItem(name, i)
 		p.NextAfter = name
-		bytes += routeBytes(name, i.route)
+		bytes += i.bytes(name)
 	}
 	p.NextAfter = ""
 	return p
--- a/internal/routing/page.go
+++ b/internal/routing/page.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"strings"
+
 	"orchidward/internal/api/catalog"
 	"orchidward/internal/api/identifier"
 )
@@ -8,8 +10,10 @@
 const (
 	// pageBytes is the size of the items from which on a page takes no more.
 	pageBytes = 24 << 10
-	// routeOverheadBytes is about what a route takes besides its texts.
-	routeOverheadBytes = 40
+	// itemOverheadBytes is about what an item takes besides its texts.
+	itemOverheadBytes = 40
+	// digestBytes is what the digest of a key takes.
+	digestBytes = 67
 )
 
 // Table is a routing table as the state has it.
@@ -20,9 +24,13 @@
 	// Rows are the limits by row, Routes the routes to queues, in any order.
 	Rows   map[identifier.Row]map[string]string
 	Routes []catalog.Route
+	// Tenants are the digests of all tenants' API keys, made by KeySalt.
+	Tenants []catalog.TenantKeys
+	KeySalt []byte
 }
 
-// Page is a part of what changed after an epoch, in the order of names.
+// Page is a part of what changed after an epoch: tenants and then routes, each in the order
+// of names.
 type Page struct {
 	// Since is the epoch after which all changes are listed; 0 is the full table.
 	Since identifier.Epoch `json:"since"`
@@ -35,19 +43,30 @@
 	// are gone.
 	Routes  []catalog.Route `json:"places,omitempty"`
 	Dropped []string        `json:"dropped,omitempty"`
+	// Tenants and DroppedTenants are the same for tenants' keys, whose digests are made by
+	// KeySalt.
+	Tenants        []catalog.TenantKeys `json:"tenants,omitempty"`
+	DroppedTenants []string             `json:"droppedTenants,omitempty"`
+	KeySalt        []byte               `json:"keySalt,omitempty"`
 	// NextAfter is the name after which the next page begins, empty on the last.
 	NextAfter string `json:"next,omitempty"`
 }
 
 func (p *Page) addItem(name string, i item) {
-	if i.dropped {
+	tenant, isTenant := strings.CutPrefix(name, tenantPrefix)
+	switch {
+	case isTenant && i.dropped:
+		p.DroppedTenants = append(p.DroppedTenants, tenant)
+	case isTenant:
+		p.Tenants = append(p.Tenants, i.keys)
+	case i.dropped:
 		p.Dropped = append(p.Dropped, name)
-		return
+	default:
+		p.Routes = append(p.Routes, i.route)
 	}
-	p.Routes = append(p.Routes, i.route)
 }
 
-// routeBytes is about what a route takes in a page.
-func routeBytes(name string, r catalog.Route) int {
-	return routeOverheadBytes + len(name) + len(r.Host) + len(r.Prefix)
+// bytes is about what the item takes in a page.
+func (i item) bytes(name string) int {
+	return itemOverheadBytes + len(name) + len(i.route.Host) + len(i.route.Prefix) + digestBytes*len(i.keys.Digests)
 }
--- a/internal/routing/replica.go
+++ b/internal/routing/replica.go
@@ -14,6 +14,8 @@
 	version uint64
 	rows    map[identifier.Row]map[string]string
 	routes  map[string]catalog.Route
+	tenants map[string]catalog.TenantKeys
+	keySalt []byte
 	update  *update
 	// needsFullTable says that the leader's history does not reach back to epoch.
 	needsFullTable bool
@@ -24,39 +26,74 @@
 // newer ones will only come again.
 type update struct {
 	first     Page
-	routes    map[string]catalog.Route
-	dropped   map[string]bool
+	routes    itemUpdate[catalog.Route]
+	tenants   itemUpdate[catalog.TenantKeys]
 	nextAfter string
 }
 
 func newUpdate(first Page) *update {
-	return &update{first: first, routes: map[string]catalog.Route{}, dropped: map[string]bool{}}
+	return &update{first: first, routes: newItemUpdate[catalog.Route](), tenants: newItemUpdate[catalog.TenantKeys]()}
 }
 
 func (u *update) add(p Page) {
-	for _, route := range p.Routes {
-		u.routes[route.Queue] = route
-	}
-	for _, name := range p.Dropped {
-		u.dropped[name] = true
+	u.routes.add(p.Routes, queueOf, p.Dropped)
+	u.tenants.add(p.Tenants, tenantOf, p.DroppedTenants)
+}
+
+func queueOf(route catalog.Route) string { return route.Queue }
+
+func tenantOf(keys catalog.TenantKeys) string { return keys.Tenant }
+
+// itemUpdate is what an update says of the items of one kind, by their names.
+type itemUpdate[T any] struct {
+	put     map[string]T
+	dropped map[string]bool
+}
+
+func newItemUpdate[T any]() itemUpdate[T] {
+	return itemUpdate[T]{put: map[string]T{}, dropped: map[string]bool{}}
+}
+
+func (u itemUpdate[T]) add(put []T, name func(T) string, dropped []string) {
+	maps.Copy(u.put, byName(put, name))
+	for _, n := range dropped {
+		u.dropped[n] = true
 	}
 }
 
-// applyTo is what the update makes of some routes, which stay as they are.
-func (u *update) applyTo(routes map[string]catalog.Route) map[string]catalog.Route {
-	if u.first.Since == 0 {
-		return u.routes
+// applyTo is what the update makes of some items, which stay as they are. One that lists
+// everything replaces them.
+func (u itemUpdate[T]) applyTo(items map[string]T, everything bool) map[string]T {
+	if everything {
+		return u.put
 	}
-	updated := make(map[string]catalog.Route, len(routes)+len(u.routes))
-	for name, route := range routes {
+	updated := make(map[string]T, len(items)+len(u.put))
+	for name, i := range items {
 		if !u.dropped[name] {
-			updated[name] = route
+			updated[name] = i
 		}
 	}
-	maps.Copy(updated, u.routes)
+	maps.Copy(updated, u.put)
 	return updated
 }
 
+func byName[T any](list []T, name func(T) string) map[string]T {
+	items := make(map[string]T, len(list))
+	for _, i := range list {
+		items[name(i)] = i
+	}
+	return items
+}
+
+// sortedByName lists items in the order of their names.
+func sortedByName[T any](items map[string]T) []T {
+	var list []T
+	for _, name := range slices.Sorted(maps.Keys(items)) {
+		list = append(list, items[name])
+	}
+	return list
+}
+
 // Epoch is that of the table in use, 0 while there is none.
 func (r *Replica) Epoch() identifier.Epoch { return r.epoch }
 
@@ -67,13 +104,13 @@
 func (r *Replica) Rows() map[identifier.Row]map[string]string { return r.rows }
 
 // Routes lists the routes in use, in the order of names.
-func (r *Replica) Routes() []catalog.Route {
-	var routes []catalog.Route
-	for _, name := range slices.Sorted(maps.Keys(r.routes)) {
-		routes = append(routes, r.routes[name])
-	}
-	return routes
-}
+func (r *Replica) Routes() []catalog.Route { return sortedByName(r.routes) }
+
+// Tenants lists the digests of tenants' keys in use, in the order of the tenants' names.
+func (r *Replica) Tenants() []catalog.TenantKeys { return sortedByName(r.tenants) }
+
+// KeySalt is what the digests are made by, nil while there are no tenants.
+func (r *Replica) KeySalt() []byte { return r.keySalt }
 
 // Updating reports whether more pages of an update are to come.
 func (r *Replica) Updating() bool { return r.update != nil }
@@ -99,10 +136,9 @@
 	r.epoch = t.Epoch
 	r.version = t.Version
 	r.rows = t.Rows
-	r.routes = make(map[string]catalog.Route, len(t.Routes))
-	for _, route := range t.Routes {
-		r.routes[route.Queue] = route
-	}
+	r.routes = byName(t.Routes, queueOf)
+	r.tenants = byName(t.Tenants, tenantOf)
+	r.keySalt = t.KeySalt
 	r.update = nil
 	r.needsFullTable = false
 	return true
@@ -154,7 +190,10 @@
 	}
 	r.epoch = u.first.Epoch
 	r.version = u.first.Version
-	r.routes = u.applyTo(r.routes)
+	everything := u.first.Since == 0
+	r.routes = u.routes.applyTo(r.routes, everything)
+	r.tenants = u.tenants.applyTo(r.tenants, everything)
+	r.keySalt = u.first.KeySalt
 	if u.first.Rows != nil {
 		r.rows = u.first.Rows
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -60,7 +60,7 @@
 	h.table.Epoch++
 	h.setRoute(name)
 	h.listRoutes()
-	h.history.RoutesChanged(h.table)
+	h.history.CatalogChanged(h.table)
 }
 
 // changeRandomly makes one change of some routes, or of the rows.
@@ -80,7 +80,7 @@
 		delete(h.routes, queueName(h.random.Intn(400)))
 	}
 	h.listRoutes()
-	h.history.RoutesChanged(h.table)
+	h.history.CatalogChanged(h.table)
 }
 
 // everHad reports whether some table from an epoch on had a route.
@@ -221,7 +221,7 @@
 		h.setRoute(fmt.Sprintf("passing-%d", i))
 		delete(h.routes, fmt.Sprintf("passing-%d", i-1))
 		h.table.Routes = slices.Collect(maps.Values(h.routes))
-		h.history.RoutesChanged(h.table)
+		h.history.CatalogChanged(h.table)
 	}
 	if kept := len(h.history.items); kept > maxDroppedItems+20 {
 		t.Errorf("%d items are kept", kept)
@@ -257,3 +257,41 @@
 		t.Error("took an older page, or one from a later epoch")
 	}
 }
+
+// TestTenantKeysConverge: whichever tenants and routes come, change and go, a replica that
+// catches up now and then has the keys and the routes of the newest table.
+func TestTenantKeysConverge(t *testing.T) {
+	h := newTableHistory(11, 30)
+	r := &Replica{}
+	for round := range 400 {
+		tenants := map[string]catalog.TenantKeys{}
+		for _, keys := range h.table.Tenants {
+			tenants[keys.Tenant] = keys
+		}
+		name := fmt.Sprint("tenant-", h.random.Intn(8))
+		if h.random.Intn(3) == 0 {
+			delete(tenants, name)
+		} else {
+			tenants[name] = catalog.TenantKeys{Tenant: name, Digests: []catalog.KeyDigest{catalog.KeyDigest(fmt.Sprint(round))}}
+		}
+		h.table.Tenants = slices.Collect(maps.Values(tenants))
+		h.table.KeySalt = []byte("salt")
+		h.changeOne(queueName(h.random.Intn(40)))
+		if h.random.Intn(4) != 0 {
+			continue
+		}
+		fetchPage(t, h.history, r)
+		for r.Updating() {
+			fetchPage(t, h.history, r)
+		}
+		have := r.Tenants()
+		for _, keys := range have {
+			if !slices.Equal(keys.Digests, tenants[keys.Tenant].Digests) {
+				t.Fatalf("round %d: %v", round, keys)
+			}
+		}
+		if len(have) != len(tenants) || string(r.KeySalt()) != "salt" || !hasRoutes(r, h.routes) {
+			t.Fatalf("round %d: %d tenants of %d", round, len(have), len(tenants))
+		}
+	}
+}
--- a/internal/state/queue_jobs.go
+++ b/internal/state/queue_jobs.go
@@ -40,6 +40,8 @@
 			"the id of a job for a queue has no dot: that is how its times are told apart")
 	case queue == nil:
 		return rejected(http.StatusNotFound, codeNoQueue, "no such queue")
+	case s.Catalog.Protected(queue) && command.Spec.Tenant == "":
+		return rejected(http.StatusUnauthorized, codeUnauthenticated, "the request needs the API key of a tenant")
 	case s.jobIndex.waitingTasks[queueJobsRow]+command.Spec.TaskCount() > maxQueuedTasks:
 		return retryLater(http.StatusTooManyRequests, codeQueueFull, "too many tasks wait", retryAfterPlacing)
 	case s.jobIDsFull():
--- a/internal/state/result.go
+++ b/internal/state/result.go
@@ -38,6 +38,7 @@
 	codeNoDrain         = "no-closing"
 	codeNoJob           = "no-job"
 	codeNoQueue         = "no-queue"
+	codeUnauthenticated = "unauthenticated"
 	codeNoRow           = "no-row"
 	codeOldIncarnation  = "old-incarnation"
 	codeOtherContent    = "other-content"
--- a/internal/transport/wire/message.go
+++ b/internal/transport/wire/message.go
@@ -118,9 +118,13 @@
 }
 
 // IsRefusal reports whether the status says that the request was not carried out, and may
-// be sent again later.
+// be sent again later, or again with another key.
 func (r *Response) IsRefusal() bool {
-	return r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests
+	switch r.Status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusUnauthorized:
+		return true
+	}
+	return false
 }
 
 // Announcement is how processes discover one another: it says who the sender is and
