What a tenant has running keeps within its quota

Cause: nothing counted what a tenant has running. Change: the state adds up the open leases of each tenant's jobs, revoked ones included, until an end is reported or the runner is surely dead, and admits a placement, a gang as one, only within the quota in force; the scheduler plans by the same rule and passes over who is at the quota.

--- a/internal/controlplane/poll_answers.go
+++ b/internal/controlplane/poll_answers.go
@@ -117,7 +117,8 @@
 		case ended:
 		case lease.RevokeReason != "":
 			response.Stops = append(response.Stops, lease.ID)
-		case !contact.running[lease.ID] && !contact.draining && runner.CordonedBy() == "":
+		case contact.running[lease.ID] || contact.draining || runner.CordonedBy() != "":
+		case !s.state.ExceedsQuota(lease):
 			response.Starts = append(response.Starts, s.startOrder(lease))
 		}
 	})
--- a/internal/controlplane/runner_health.go
+++ b/internal/controlplane/runner_health.go
@@ -127,8 +127,8 @@
 	return stalled
 }
 
-// neverStarted lists what was placed on agents' runners that are leaving or cordoned and
-// has not started there, and so never will.
+// neverStarted lists what was placed on agents' runners and has not started there, and will
+// not: the runner is leaving or cordoned, or the tenant has more in use than its quota.
 func (s *Server) neverStarted() []identifier.LeaseID {
 	var list []identifier.LeaseID
 	for _, name := range s.state.RunnerNames() {
@@ -137,12 +137,14 @@
 		if contact == nil || contact.agent == nil || !contact.hasPolled || runner.Incarnation != contact.incarnation {
 			continue
 		}
-		if !contact.draining && runner.CordonedBy() == "" {
-			continue
-		}
+		closed := contact.draining || runner.CordonedBy() != ""
 		for _, id := range runner.LeaseIDs() {
+			lease := s.state.Leases[id]
 			_, ended := contact.ended[id]
-			if !ended && !contact.running[id] && s.state.Leases[id].RevokeReason == "" {
+			if ended || contact.running[id] || lease.RevokeReason != "" {
+				continue
+			}
+			if closed || s.state.ExceedsQuota(lease) {
 				list = append(list, id)
 			}
 		}
--- a/internal/scheduler/job_order.go
+++ b/internal/scheduler/job_order.go
@@ -59,10 +59,13 @@
 		if misses[class] > maxMisses || seen[class] > maxJobsSeen {
 			continue
 		}
-		if result := c.tryJob(ranked.job, c.tryQueueUnit); !result.placed && result.newShape {
+		result := c.tryJob(ranked.job, c.tryQueueUnit)
+		if !result.placed && result.newShape {
 			misses[class]++
 		}
-		seen[class]++
+		if result.placed || !result.overQuota {
+			seen[class]++
+		}
 		if c.full() {
 			return
 		}
--- a/internal/scheduler/queues.go
+++ b/internal/scheduler/queues.go
@@ -12,6 +12,11 @@
 
 // tryQueueUnit tries to place a unit of a queue's job.
 func (c *cycle) tryQueueUnit(u unit) placementResult {
+	budget := c.tenantBudget(u)
+	if !budget.withinQuota(u) {
+		c.plan.Reasons.add(u, reasonQuota)
+		return placementResult{overQuota: true}
+	}
 	shape := queueShape(u)
 	if reason, known := c.unplaceable[shape]; known {
 		c.plan.Reasons.add(u, reason)
@@ -39,6 +44,7 @@
 		n.free = n.free.Minus(u.spec().Demand)
 	}
 	room.take(u, run)
+	budget.take(u)
 	c.place(u, nodes)
 	return placementResult{placed: true, newShape: true}
 }
--- a/internal/scheduler/reasons.go
+++ b/internal/scheduler/reasons.go
@@ -19,6 +19,7 @@
 	reasonWaits            = "waits for room"
 	reasonWaitsReserved    = "waits for room, which is being kept for it"
 	reasonHeadroom         = "waits for room beyond what more urgent work has lately needed"
+	reasonQuota            = "waits for its tenant to use less than its quota"
 	reasonDeferred         = "will be done sooner by waiting for a better runner"
 )
 
--- a/internal/scheduler/rows.go
+++ b/internal/scheduler/rows.go
@@ -77,10 +77,7 @@
 		return placementResult{placed: true, newShape: true}
 	}
 	row := u.job.Spec.Row
-	use := c.rowUse[row]
-	for range u.taskNumbers {
-		use = use.Plus(u.spec().Demand)
-	}
+	use := c.rowUse[row].Plus(u.demand())
 	if !use.WithinLimit(c.store.RowLimit(row)) {
 		c.plan.Reasons.add(u, reasonRowLimit(row))
 		return placementResult{newShape: true}
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -86,6 +86,8 @@
 	rooms map[string]*poolRoom
 	// rowUse is the demand of each row's open leases and placements so far.
 	rowUse map[identifier.Row]job.Demand
+	// tenants has the quota and the use of each tenant that was looked up.
+	tenants map[string]*tenantBudget
 	// rowReserved and poolReserved tell where resources are reserved already.
 	rowReserved  bool
 	poolReserved map[string]bool
@@ -130,6 +132,7 @@
 		queues:       map[string]*catalog.Queue{},
 		rooms:        newPoolRooms(store, pools, view.Usage),
 		rowUse:       map[identifier.Row]job.Demand{},
+		tenants:      map[string]*tenantBudget{},
 		poolReserved: map[string]bool{},
 		placed:       map[identifier.TaskRef]bool{},
 		unplaceable:  map[unitShape]string{},
--- a/internal/scheduler/unit.go
+++ b/internal/scheduler/unit.go
@@ -18,6 +18,15 @@
 
 func (u unit) task(num int) *state.Task { return u.job.Steps[u.step][num] }
 
+// demand is that of all its tasks.
+func (u unit) demand() job.Demand {
+	var total job.Demand
+	for range u.taskNumbers {
+		total = total.Plus(u.spec().Demand)
+	}
+	return total
+}
+
 // firstTask names the unit by its first task.
 func (u unit) firstTask() identifier.TaskRef {
 	return identifier.TaskRef{Job: u.job.Key, Step: u.step, Num: u.taskNumbers[0]}
@@ -39,6 +48,8 @@
 	newShape bool
 	// deferred says that a unit fits, and waits for a better node.
 	deferred bool
+	// overQuota says that a unit waits for its tenant to use less.
+	overQuota bool
 }
 
 func (r placementResult) or(other placementResult) placementResult {
@@ -46,6 +57,8 @@
 		placed:   r.placed || other.placed,
 		newShape: r.newShape || other.newShape,
 		deferred: r.deferred || other.deferred,
+
+		overQuota: r.overQuota || other.overQuota,
 	}
 }
 
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -50,6 +50,8 @@
 	runnerIndex *runnerIndex
 	// inUse is the demand of the open leases of each row.
 	inUse map[identifier.Row]job.Demand
+	// tenantUse is the demand of the open leases of each tenant's jobs.
+	tenantUse map[string]job.Demand
 }
 
 const (
@@ -84,6 +86,7 @@
 	s.jobIndex = newJobIndex()
 	s.runnerIndex = newRunnerIndex()
 	s.inUse = map[identifier.Row]job.Demand{}
+	s.tenantUse = map[string]job.Demand{}
 	for _, runner := range s.Runners {
 		s.runnerIndex.add(runner.Name)
 		runner.resetDerived()
--- a/internal/state/transitions.go
+++ b/internal/state/transitions.go
@@ -26,12 +26,13 @@
 	s.attachLease(lease)
 }
 
-// attachLease counts an open lease at its runner, its row and its job.
+// attachLease counts an open lease at its runner, its row, its tenant and its job.
 func (s *Store) attachLease(lease *Lease) {
 	runner := s.Runners[lease.Runner]
 	runner.leases[lease.ID] = lease
 	runner.used = runner.used.Plus(lease.Demand)
 	s.inUse[lease.Row] = s.inUse[lease.Row].Plus(lease.Demand)
+	s.countTenantUse(lease, s.tenantUse[s.tenantOf(lease)].Plus(lease.Demand))
 	s.Jobs[lease.Task.Job].openLeases++
 }
 
@@ -44,5 +45,6 @@
 	delete(runner.leases, lease.ID)
 	runner.used = runner.used.Minus(lease.Demand)
 	s.inUse[lease.Row] = s.inUse[lease.Row].Minus(lease.Demand)
+	s.countTenantUse(lease, s.tenantUse[s.tenantOf(lease)].Minus(lease.Demand))
 	s.Jobs[lease.Task.Job].openLeases--
 }
