--- a/internal/scheduler/job_order.go
+++ b/internal/scheduler/job_order.go
@@ -19,6 +19,8 @@
 	onTime timeliness = iota
 	// late jobs are worth less.
 	late
+	// excess jobs are beyond the share of their tenant.
+	excess
 	// tooLate jobs are worth nothing any more.
 	tooLate
 )
@@ -39,8 +41,8 @@
 	dueAt      clock.ClusterTime
 }
 
-// compareRanked puts jobs on time first, then the late ones, then those that are too late; of
-// each by priority, and then by when they are due.
+// compareRanked puts jobs on time first, then the late ones, then those beyond their tenant's
+// share, then those that are too late; of each by priority, and then by when they are due.
 func compareRanked(a, b rankedJob) int {
 	return cmp.Or(
 		cmp.Compare(a.timeliness, b.timeliness),
@@ -101,6 +103,9 @@
 	case end <= ranked.dueAt.Add((lateFactor-1)*target):
 		ranked.timeliness = late
 	}
+	if j.OverShare() && ranked.timeliness < excess {
+		ranked.timeliness = excess
+	}
 	return ranked
 }
 
--- a/internal/scheduler/tenants_test.go
+++ b/internal/scheduler/tenants_test.go
@@ -58,3 +58,27 @@
 		t.Errorf("after the first ends it uses %d", used)
 	}
 }
+
+// TestExcessWorkWaits: while runners are full, what a tenant hands in beyond its weight waits behind the work of others.
+func TestExcessWorkWaits(t *testing.T) {
+	store := newTenantStore(t, 1,
+		catalog.Tenant{Name: "hot", Weight: 1000},
+		catalog.Tenant{Name: "usual", Weight: 1000})
+	whole := job.Step{Tasks: 1, Demand: job.Demand{MilliCores: 8000}}
+	for i := range 20 {
+		submitAs(t, store, "hot", fmt.Sprint("hot", i), 10_000, whole)
+	}
+	submitAs(t, store, "usual", "usual", 10_001, whole)
+	var order []identifier.JobKey
+	for range 21 {
+		plan := scheduleAndPlace(t, store)
+		if len(plan.Placements) != 1 {
+			t.Fatalf("%d placed at once", len(plan.Placements))
+		}
+		order = append(order, plan.Placements[0].Job)
+		endLeases(t, store, state.OutcomeSuccess, keepNone)
+	}
+	if order[4] != "q/hot4" || order[5] != "q/usual" || order[6] != "q/hot5" {
+		t.Errorf("placed in the order %v", order)
+	}
+}
--- a/internal/state/catalog.go
+++ b/internal/state/catalog.go
@@ -31,6 +31,7 @@
 		return rejected(http.StatusUnprocessableEntity, codeInvalid, err.Error())
 	}
 	s.Catalog = next
+	s.dropTenantRates()
 	s.Limits.Epoch++
 	s.rules.Epoch = s.Limits.Epoch
 	s.foldChecksum(next.Version, hashText(change.Checksum))
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -46,6 +46,9 @@
 	displacedTasks int
 	// queue is the queue of pending jobs that the job is in, nil for none.
 	queue *jobQueue
+	// overShare says that the job's tenant handed in more than its weight just then. It is
+	// not derived again: a job that comes by a snapshot counts as within the share.
+	overShare bool
 	// timing is where the job's time went, nil when that was not followed from its start.
 	timing *jobTiming
 }
@@ -135,6 +138,10 @@
 	return false
 }
 
+// OverShare tells whether the job is beyond what its tenant's weight entitles it to: it
+// gets what the work within shares leaves free.
+func (j *Job) OverShare() bool { return j.overShare }
+
 // ending tells whether the job is cancelled or failing, so that none of its tasks is
 // to be placed any more.
 func (j *Job) ending() bool { return j.Cancelled || j.Failure != "" }
--- a/internal/state/queue_jobs.go
+++ b/internal/state/queue_jobs.go
@@ -49,6 +49,7 @@
 	}
 	j := s.newJob(command, checksum)
 	j.Terms = s.queueTerms(queue, j)
+	j.overShare = s.exceedsShare(j)
 	s.jobIndex.unfinishedByQueue[queue.Name]++
 	if j.Spec.Repeat == nil {
 		j.StartAt = s.startTime(&j.Spec)
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -52,6 +52,9 @@
 	inUse map[identifier.Row]job.Demand
 	// tenantUse is the demand of the open leases of each tenant's jobs.
 	tenantUse map[string]job.Demand
+	// tenantRates is how fast tenants hand jobs in. Like the time of jobs it is not part of
+	// snapshots.
+	tenantRates map[string]*tenantRate
 }
 
 const (
@@ -87,6 +90,7 @@
 	s.runnerIndex = newRunnerIndex()
 	s.inUse = map[identifier.Row]job.Demand{}
 	s.tenantUse = map[string]job.Demand{}
+	s.tenantRates = map[string]*tenantRate{}
 	for _, runner := range s.Runners {
 		s.runnerIndex.add(runner.Name)
 		runner.resetDerived()
