An order that may have been taken is not refused; a retry is checked by the table it is stamped with

What callers would see: a job whose first try was taken, and whose answer was lost, was answered 401 or 422 when a newer table no longer allowed it: a refusal of a job that runs (REFUSED). And a retry was stamped with the gateway's newest table without having been checked by it. Cause: the check after a stale return knew nothing of earlier attempts, and forward stamped each attempt with the table of that moment. Change: a request remembers by which table it was checked and is checked again when that is no longer the one in use; a fault found then is 504 where an earlier attempt may have been taken. A key unknown to the table gets 503 as soon as that table is known to be old. A job is found by another tenant once its own is gone.

--- a/internal/controlplane/authentication.go
+++ b/internal/controlplane/authentication.go
@@ -25,11 +25,14 @@
 }
 
 // mayAccess reports whether a request of a tenant may see and cancel a job: one of its own,
-// or of nobody. Requests without a key are those of operators, or were let through by a
+// of nobody, or of a tenant that is no more. Requests without a key are those of operators, or were let through by a
 // gateway because the queue asks for none.
 func (s *Server) mayAccess(tenant string, key identifier.JobKey) bool {
 	j := s.state.Jobs[key]
-	return tenant == "" || j == nil || j.Spec.Tenant == "" || j.Spec.Tenant == tenant
+	if tenant == "" || j == nil || j.Spec.Tenant == tenant {
+		return true
+	}
+	return s.state.Catalog.Tenant(j.Spec.Tenant) == nil
 }
 
 // serveTenant serves the requests that tenants make of their jobs and queues. It reports
--- a/internal/gateway/authentication.go
+++ b/internal/gateway/authentication.go
@@ -32,9 +32,9 @@
 		return true
 	}
 	switch {
-	case r.outcomeUnknown && r.Method != http.MethodGet:
+	case r.mayBeTaken():
 		g.replyUnknown(r.ID)
-	case g.Behind():
+	case g.routing.behindSince > 0:
 		g.replyError(r.ID, http.StatusServiceUnavailable, codeKeysBehind, messageKeysBehind, retryAfterFailure)
 	default:
 		g.replyError(r.ID, http.StatusUnauthorized, codeUnauthenticated, messageUnauthenticated, 0)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,7 +120,7 @@
 		case g.now >= r.deadline:
 			g.fail(id, codeNoAnswer, "the control plane did not answer in time")
 		case r.retryDue(g.now):
-			g.forward(r)
+			g.forwardAgain(r)
 		}
 	}
 }
--- a/internal/gateway/leader_sync.go
+++ b/internal/gateway/leader_sync.go
@@ -159,7 +159,7 @@
 	for _, id := range g.requests.ids() {
 		r := g.requests.byID[id]
 		if r.to != g.servers.target && (r.attempt == 0 || r.idempotent) {
-			g.forward(r)
+			g.forwardAgain(r)
 		}
 	}
 }
--- a/internal/gateway/request_table.go
+++ b/internal/gateway/request_table.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/http"
 	"slices"
 
 	"orchidward/internal/api/identifier"
@@ -17,11 +18,12 @@
 	// idempotent requests may be sent again after an unknown outcome.
 	idempotent bool
 	// attempt is the number of the attempt under way, 0 while there is none, to is the
-	// server that it was sent to, and epoch that of the table it was checked by.
+	// server that it was sent to.
 	attempt uint64
 	sentAt  clock.Monotonic
 	to      wire.Peer
-	epoch   identifier.Epoch
+	// epoch is that of the table by which the request was last checked.
+	epoch identifier.Epoch
 	// retryAt is when to send it again, 0 while that is not planned.
 	retryAt clock.Monotonic
 	// staleReturns and expiredReturns count the attempts that were returned because the
@@ -41,6 +43,10 @@
 	return r.idempotent && r.attempt != 0 && now.Since(r.sentAt) > attemptTimeout
 }
 
+// mayBeTaken reports whether an earlier attempt of an order may have been carried out, so
+// that a refusal now says nothing of it.
+func (r *request) mayBeTaken() bool { return r.outcomeUnknown && r.Method != http.MethodGet }
+
 // requestTable holds the requests in flight, and finds them by the attempts under way.
 type requestTable struct {
 	byID      map[uint64]*request
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -77,6 +77,7 @@
 // and its API key. A request with faults is answered here.
 func (g *Gateway) validate(r *request) bool {
 	var faults jsondoc.FieldErrors
+	r.epoch = g.Epoch()
 	// A path or method that the API lacks is refused by the leader.
 	target, err := endpoint.Parse(r.Method, r.Path)
 	if err != nil {
@@ -95,7 +96,11 @@
 	case endpoint.PatchLimits:
 		limits.ReadPatch(r.Body, &faults)
 	}
-	if faults.Any() {
+	switch {
+	case faults.Any() && r.mayBeTaken():
+		g.replyUnknown(r.ID)
+		return false
+	case faults.Any():
 		g.reply(Response{ID: r.ID, Status: faults.Status(), Body: faults.ErrorBody()})
 		return false
 	}
@@ -124,6 +129,15 @@
 	return g.lastAttempt
 }
 
+// forwardAgain sends a request once more, after checking it by the table in use if that is
+// another one than it was checked by.
+func (g *Gateway) forwardAgain(r *request) {
+	r.outcomeUnknown = r.outcomeUnknown || r.attempt != 0
+	if r.epoch == g.Epoch() || g.validate(r) {
+		g.forward(r)
+	}
+}
+
 // forward sends a request to the leader, or to whichever server may know it. From the
 // second attempt on its outcome is unknown until a server answers.
 func (g *Gateway) forward(r *request) {
@@ -136,7 +150,6 @@
 		to = g.servers.choose(g.now)
 	}
 	r.outcomeUnknown = r.outcomeUnknown || r.attempt != 0
-	r.epoch = g.Epoch()
 	g.requests.beginAttempt(r, g.takeAttempt(), to, g.now)
 	g.send(to, wire.Message{Request: &wire.Request{
 		ID:            r.attempt,
@@ -170,7 +183,7 @@
 	case response.Expired && g.now < r.deadline && r.expiredReturns < maxExpiredReturns:
 		r.expiredReturns++
 		g.requests.endAttempt(r)
-		g.forward(r)
+		g.forwardAgain(r)
 	case response.Stale:
 		g.handleStale(r, response)
 	case response.NotLeader:
@@ -179,7 +192,7 @@
 		g.requests.endAttempt(r)
 		r.outcomeUnknown = true
 		r.retryAt = g.now.Add(retryInterval)
-	case r.outcomeUnknown && r.Method != http.MethodGet && response.IsRefusal():
+	case r.mayBeTaken() && response.IsRefusal():
 		g.replyUnknown(r.ID)
 	default:
 		g.reply(Response{ID: r.ID, Status: response.Status, Body: response.Body, RetryAfter: response.RetryAfter})
--- a/internal/state/submit.go
+++ b/internal/state/submit.go
@@ -30,7 +30,7 @@
 func (s *Store) submitJob(command *SubmitJob) Result {
 	checksum := command.Spec.Checksum()
 	if j := s.Jobs[command.Key]; j != nil {
-		if j.Checksum != checksum || !sameTenant(j.Spec.Tenant, command.Spec.Tenant) {
+		if j.Checksum != checksum {
 			return rejected(http.StatusConflict, codeOtherContent, "the id names a job with other content")
 		}
 		return accepted(http.StatusOK, newSubmitAck(j.Key, j.Checksum, j.AcceptedAt))
@@ -50,10 +50,6 @@
 	return s.submitToRow(command, checksum)
 }
 
-// sameTenant tells whether a resend may be of the job of a tenant. A job that was accepted
-// before there were tenants is nobody's, and may be sent again by its owner.
-func sameTenant(accepted, resent string) bool { return accepted == "" || accepted == resent }
-
 // submitToRow takes a job for a row of the limits table.
 func (s *Store) submitToRow(command *SubmitJob, checksum string) Result {
 	var faults jsondoc.FieldErrors
