--- a/internal/controlplane/config.go
+++ b/internal/controlplane/config.go
@@ -24,6 +24,9 @@
 	Diskless bool
 	// MayFound lets a server with an empty disk found a group.
 	MayFound bool
+	// LossesTolerated is how many disks of members may be lost at once, 0 if that is not
+	// said.
+	LossesTolerated int
 	// InitialLimits are the site-wide cells of the limits table that a founder sets,
 	// by name.
 	InitialLimits map[string]string
--- a/tests/simulation/server.go
+++ b/tests/simulation/server.go
@@ -94,6 +94,8 @@
 		Level:    s.Level,
 		MayFound: true,
 		Diskless: s.Diskless,
+
+		LossesTolerated: s.cluster.Spec.LossesTolerated,
 	}
 }
 
--- a/tests/simulation/spec.go
+++ b/tests/simulation/spec.go
@@ -27,6 +27,9 @@
 	ServerDomains int
 	// DisklessServers is how many servers without a disk there are besides.
 	DisklessServers int
+	// LossesTolerated is how many disks of servers may be lost at once, as the servers
+	// are told; 0 tells them nothing.
+	LossesTolerated int
 	// LogFileBytes is the size of each file of a server's write-ahead log, 0 for the
 	// usual, which is small enough that it is compacted in many runs.
 	LogFileBytes int
