A member that was removed and joins again starts afresh

The leader kept what it knew of a removed member: taken in again, it counted as silent since before, and was removed at the next tick. A learner that was removed held on to its last leader, and never searched for the group. Change: a leader knows peers of its list only; a member without a vote knows no leader once its election timeout has passed.

--- a/internal/consensus/raft/election.go
+++ b/internal/consensus/raft/election.go
@@ -73,7 +73,7 @@
 	r.leader = r.id
 	r.recordFirstKnownTerm()
 	r.peers = map[identifier.Node]*peer{}
-	r.addPeers()
+	r.matchPeers()
 	r.leadership = leadership{
 		electedAt:       r.now,
 		heartbeatSentAt: r.now,
--- a/internal/consensus/raft/membership.go
+++ b/internal/consensus/raft/membership.go
@@ -95,6 +95,6 @@
 		panic("raft: a member list cannot be encoded: " + err.Error())
 	}
 	r.append(EntryConfig, data)
-	r.addPeers()
+	r.matchPeers()
 	return true
 }
--- /dev/null
+++ b/internal/consensus/raft/rejoin_test.go
@@ -0,0 +1,64 @@
+package raft
+
+import (
+	"testing"
+
+	"orchidward/internal/api/identifier"
+	"orchidward/internal/clock"
+)
+
+// settle syncs the leader's writes and has member 2 acknowledge all of its log.
+func settle(r *Raft, now clock.Monotonic) {
+	syncAll(r)
+	deliver(r, Message{Kind: AppendReply, From: 2, To: 1, Term: r.Term(), Index: r.LastIndex(), SentAt: now}, now)
+}
+
+// TestRejoinedMemberNotSilent guards against a member that joins again counting as silent
+// since before its removal.
+func TestRejoinedMemberNotSilent(t *testing.T) {
+	const awayFor = 20_000
+	learner := Member{ID: 9}
+	r := newMember(1, 3)
+	now := elect(t, r)
+	settle(r, now)
+	if !r.ProposeMembers(append(threeVoters(), learner)) {
+		t.Fatal("the learner is not taken in")
+	}
+	settle(r, now)
+	if !r.ProposeMembers(threeVoters()) {
+		t.Fatal("the learner is not removed")
+	}
+	for end := now + awayFor; now < end; now += 100 {
+		r.Tick(now, 0)
+		settle(r, now)
+	}
+	if !r.ProposeMembers(append(threeVoters(), learner)) {
+		t.Fatal("the learner is not taken in again")
+	}
+	for _, status := range r.MemberStatuses() {
+		if status.ID == learner.ID && status.SilentFor != 0 {
+			t.Errorf("just taken in again, and silent for %d ms", status.SilentFor)
+		}
+	}
+}
+
+// TestLearnerForgetsSilentLeader guards against a removed learner that follows its last
+// leader for ever.
+func TestLearnerForgetsSilentLeader(t *testing.T) {
+	const self, leader identifier.Node = 9, 2
+	members := append(threeVoters(), Member{ID: self})
+	r := New(self, DefaultTiming(), 1, 0, HardState{Term: 3}, &Snapshot{Index: 1, Term: 1, Members: members}, nil)
+	now := clock.Monotonic(100)
+	deliver(r, Message{Kind: AppendEntries, From: leader, To: self, Term: 3, Index: 1, LogTerm: 1}, now)
+	if r.Leader() != leader {
+		t.Fatalf("leader %d", r.Leader())
+	}
+	r.Tick(now.Add(2*DefaultTiming().ElectionTimeout), 0)
+	if r.Leader() != noLeader {
+		t.Errorf("the leader has been silent for two election timeouts, and is still known as %d", r.Leader())
+	}
+	deliver(r, Message{Kind: AppendEntries, From: leader, To: self, Term: 3, Index: 1, LogTerm: 1}, now.Add(2*DefaultTiming().ElectionTimeout))
+	if r.Leader() != leader {
+		t.Errorf("the leader is back, and known as %d", r.Leader())
+	}
+}
--- a/internal/consensus/raft/replication.go
+++ b/internal/consensus/raft/replication.go
@@ -170,8 +170,14 @@
 	return values
 }
 
-// addPeers makes sure that every other member has a peer.
-func (r *Raft) addPeers() {
+// matchPeers makes sure that every other member has a peer, and nobody else: of a member
+// that was removed and joins again, nothing from before counts.
+func (r *Raft) matchPeers() {
+	for id := range r.peers {
+		if _, ok := r.Member(id); !ok {
+			delete(r.peers, id)
+		}
+	}
 	for _, m := range r.Members() {
 		if m.ID != r.id && r.peers[m.ID] == nil {
 			r.peers[m.ID] = &peer{next: r.log.last() + 1, probing: true, ackedSentAt: never, lastHeardAt: r.now}
--- a/internal/consensus/raft/tick.go
+++ b/internal/consensus/raft/tick.go
@@ -7,8 +7,9 @@
 const quorumLossTimeouts = 2
 
 // Tick passes in the time. A leader sends heartbeats that are due, and steps
-// down when no quorum has answered it for two election timeouts; any other voter
-// starts a pre-vote once its election timeout has passed without a leader.
+// down when no quorum has answered it for two election timeouts. Once its election timeout
+// has passed without a leader, any other voter starts a pre-vote, and a member without
+// a vote knows no leader any more.
 func (r *Raft) Tick(now clock.Monotonic, wall clock.WallTime) {
 	r.now = now
 	r.wall = wall
@@ -16,9 +17,14 @@
 		r.tickLeader()
 		return
 	}
-	if r.timer.expired(now) && r.isVoter(r.id) && !r.leaving {
-		r.campaign(RequestPreVote, false)
+	if !r.timer.expired(now) || r.leaving {
+		return
+	}
+	if !r.isVoter(r.id) {
+		r.leader = noLeader
+		return
 	}
+	r.campaign(RequestPreVote, false)
 }
 
 // tickLeader steps down without a quorum, hands leadership over when its own disk
