Five voters never become three where two lost disks are tolerated

Once fewer than five servers had lived for 10 s, five voters became three; what three acknowledge is on two disks. A removed member searches for its group after 2.5 s without a leader, not 5 s.

--- a/cmd/orchidward-server/main.go
+++ b/cmd/orchidward-server/main.go
@@ -13,6 +13,9 @@
 	"orchidward/internal/daemon/settings"
 )
 
+// maxLosses is how many lost disks a group of five voters bears.
+const maxLosses = 2
+
 type flags struct {
 	Boot    string   `help:"Settings file, JSON, keys as the flags." placeholder:"FILE"`
 	Data    string   `help:"Data folder." required:""`
@@ -23,6 +26,7 @@
 	Files   int64    `help:"Files in the ring (new folders only)." default:"8"`
 	FileKb  int64    `help:"Size of a ring file in KiB (new folders only)." default:"8192"`
 	ElectMs int64    `help:"Least wait for word of a leader before an election, in ms; the same for all keepers." default:"1000"`
+	Losses  int64    `help:"Disks that may be lost at once, 0 to 2; the same for all servers. With 2, five voters never become three." default:"0"`
 }
 
 func (f *flags) check(v *settings.Validator) {
@@ -33,6 +37,7 @@
 	v.Range("files", f.Files, 3, 99)
 	v.Range("file-kb", f.FileKb, 256, 1<<20)
 	v.Range("elect-ms", f.ElectMs, 200, 10000)
+	v.Range("losses", f.Losses, 0, maxLosses)
 }
 
 func (f *flags) settings() serverd.Settings {
@@ -46,6 +51,7 @@
 		FileKb:          f.FileKb,
 		MayFound:        true,
 		ElectionTimeout: clock.Millis(f.ElectMs),
+		LossesTolerated: int(f.Losses),
 	}
 }
 
--- a/internal/consensus/raft/tick.go
+++ b/internal/consensus/raft/tick.go
@@ -17,14 +17,12 @@
 		r.tickLeader()
 		return
 	}
-	if !r.timer.expired(now) || r.leaving {
-		return
+	if r.timer.expired(now) && r.isVoter(r.id) && !r.leaving {
+		r.campaign(RequestPreVote, false)
 	}
-	if !r.isVoter(r.id) {
+	if r.timer.expired(now) && !r.isVoter(r.id) && !r.leaving {
 		r.leader = noLeader
-		return
 	}
-	r.campaign(RequestPreVote, false)
 }
 
 // tickLeader steps down without a quorum, hands leadership over when its own disk
--- a/internal/controlplane/discovery.go
+++ b/internal/controlplane/discovery.go
@@ -26,8 +26,9 @@
 	joinTimeout clock.Millis = 1500
 	// searchInterval is how often a member without a leader asks for the group.
 	searchInterval = 4 * discoveryInterval
-	// rejoinAfter is how long a member has no leader before it searches for its group.
-	rejoinAfter = memberDeadAfter / 2
+	// rejoinAfter is how long a member has no leader before it searches for its group: longer
+	// than most elections take. Who was stopped and removed waits as long after its start.
+	rejoinAfter clock.Millis = 2500
 )
 
 // discovery is the search of a server whose disk is empty for its group. It asks its
--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -48,8 +48,8 @@
 }
 
 // wantedVoters is how many voters there should be. Five become three only when fewer
-// than five have been alive for long; on the way up or down, with four, there is no
-// reason to linger.
+// than five have been alive for long, and never where three could not bear the losses that
+// are tolerated; on the way up or down, with four, there is no reason to linger.
 func (s *Server) wantedVoters(members []memberState) int {
 	live := 0
 	voters := 0
@@ -65,12 +65,21 @@
 		s.leader.maxVotersLiveAt = s.now
 		return maxVoters
 	}
+	if voters >= maxVoters && s.votersToBearLosses() >= maxVoters {
+		return maxVoters
+	}
 	if voters >= maxVoters && s.now.Since(s.leader.maxVotersLiveAt) <= memberDeadAfter {
 		return maxVoters
 	}
 	return minVoters
 }
 
+// votersToBearLosses is how many voters it takes for what a majority has on disk, and for a
+// majority itself, to outlast the loss of as many disks as are tolerated.
+func (s *Server) votersToBearLosses() int {
+	return 2*min(s.config.LossesTolerated, maxVoters/2) + 1
+}
+
 // memberStates is the group as this leader sees it. Whoever it has not heard in its
 // own term is neither live nor caught up.
 func (s *Server) memberStates(statuses []raft.MemberStatus) []memberState {
--- a/internal/daemon/serverd/settings.go
+++ b/internal/daemon/serverd/settings.go
@@ -32,6 +32,9 @@
 	// ElectionTimeout is the least time that a server waits for a leader before it asks
 	// for an election; 0 is the usual one.
 	ElectionTimeout clock.Millis
+	// LossesTolerated is how many disks of servers may be lost at once; 0 if that is not
+	// said.
+	LossesTolerated int
 }
 
 func (s Settings) timing() raft.Timing {
@@ -54,6 +57,8 @@
 		MayFound:      s.MayFound,
 		InitialLimits: s.InitialLimits,
 		Diskless:      s.Data == "",
+
+		LossesTolerated: s.LossesTolerated,
 	}
 }
 
