--- a/internal/api/catalog/catalog.go
+++ b/internal/api/catalog/catalog.go
@@ -119,11 +119,12 @@
 
 // Tenant finds a tenant by name, nil when there is none.
 func (c *Catalog) Tenant(name string) *Tenant {
-	i := slices.IndexFunc(c.Tenants, func(t Tenant) bool { return t.Name == name })
-	if i < 0 {
-		return nil
+	for i := range c.Tenants {
+		if c.Tenants[i].Name == name {
+			return &c.Tenants[i]
+		}
 	}
-	return &c.Tenants[i]
+	return nil
 }
 
 // Protected tells whether requests for the queue must bear a tenant's API key.
--- a/internal/api/catalog/change.go
+++ b/internal/api/catalog/change.go
@@ -28,6 +28,9 @@
 	DropTenants   []string        `json:"dropTenants,omitempty"`
 	Authenticated bool            `json:"authenticated,omitempty"`
 	Source        json.RawMessage `json:"source,omitempty"`
+	// Sections changes single sections of the source in place of replacing it, nil where the
+	// source is replaced or left as it is.
+	Sections *SectionChange `json:"sections,omitempty"`
 	// Checksum is that of the operator's text.
 	Checksum string `json:"sum"`
 }
@@ -59,9 +62,8 @@
 		Tenants []string `json:"tenants"`
 	} `json:"drop"`
 	Source json.RawMessage `json:"source"`
-	// Rest has no effect. It is what else the operator's text has, so that changes which
-	// differ only in that have different checksums.
-	Rest json.RawMessage `json:"rest"`
+	// Rest is what the change puts into, and drops from, sections of the source.
+	Rest []map[string]json.RawMessage `json:"rest"`
 }
 
 // ReadWhole reads a complete catalogue. Faults are added to faults; the result is nil when
@@ -101,9 +103,18 @@
 
 		Source: doc.Source,
 	}
+	change.Sections = readSections(doc.Source, doc.Rest, faults)
 	return change.complete(doc.Base, doc.Version, text, faults)
 }
 
+// ForServersWithoutTenants is the change as servers take it that know no tenants: they
+// replace the source as one.
+func (c *Change) ForServersWithoutTenants() *Change {
+	plain := *c
+	plain.Sections = nil
+	return &plain
+}
+
 // decode reads one JSON value without unknown fields, and nothing after it.
 func decode(text []byte, into any, faults *jsondoc.FieldErrors) bool {
 	d := json.NewDecoder(bytes.NewReader(text))
--- a/internal/api/catalog/merge.go
+++ b/internal/api/catalog/merge.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"encoding/json"
 	"slices"
 	"strings"
 
@@ -22,10 +23,7 @@
 		next.Pools = merge(c.Pools, change.Pools, change.DropPools, func(p Pool) string { return p.Name })
 		next.Tenants = merge(c.Tenants, change.Tenants, change.DropTenants, func(t Tenant) string { return t.Name })
 		next.Authenticated = c.Authenticated || change.Authenticated
-		next.Source = c.Source
-		if len(change.Source) > 0 {
-			next.Source = change.Source
-		}
+		next.Source = c.patchedSource(change)
 	}
 	if err := next.validate(c.Version); err != nil {
 		return nil, err
@@ -38,6 +36,17 @@
 	return next, nil
 }
 
+// patchedSource is the source after a change of named items.
+func (c *Catalog) patchedSource(change *Change) json.RawMessage {
+	switch {
+	case change.Sections != nil:
+		return change.Sections.applyTo(c.Source)
+	case len(change.Source) > 0:
+		return change.Source
+	}
+	return c.Source
+}
+
 // remember takes over what the previous catalogue remembered and adds the change.
 func (c *Catalog) remember(previous *Catalog, change *Change) {
 	if previous.Dedup != nil {
--- /dev/null
+++ b/internal/api/catalog/sections.go
@@ -0,0 +1,131 @@
+package catalog
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"orchidward/internal/api/jsondoc"
+)
+
+// sections are the sections of a source by their names.
+type sections map[string]json.RawMessage
+
+// SectionChange changes sections of the source that the catalogue itself has no use for. A
+// section that is a list of items with names is changed item by item, as queues are; any
+// other is replaced.
+type SectionChange struct {
+	// Set replaces sections, Put puts items into them or replaces them, and Drop drops items
+	// by name.
+	Set  sections            `json:"set,omitempty"`
+	Put  sections            `json:"put,omitempty"`
+	Drop map[string][]string `json:"drop,omitempty"`
+}
+
+// The parts of a patch's rest, in their order.
+const (
+	restPut = iota
+	restDrop
+	restParts
+)
+
+// readSections reads what a patch changes in the source, nil where it changes nothing.
+func readSections(source json.RawMessage, rest []map[string]json.RawMessage, faults *jsondoc.FieldErrors) *SectionChange {
+	change := &SectionChange{Drop: map[string][]string{}}
+	if len(source) > 0 && json.Unmarshal(source, &change.Set) != nil {
+		faults.Malformed("source", "not an object")
+	}
+	if len(rest) > restParts {
+		faults.Malformed("rest", "want what is put and what is dropped")
+		return nil
+	}
+	if len(rest) > restPut {
+		change.Put = rest[restPut]
+	}
+	if len(rest) > restDrop {
+		for name, list := range rest[restDrop] {
+			var names []string
+			if json.Unmarshal(list, &names) != nil {
+				faults.Malformed("rest", "want names to drop")
+			}
+			change.Drop[name] = names
+		}
+	}
+	if len(change.Set)+len(change.Put)+len(change.Drop) == 0 {
+		return nil
+	}
+	return change
+}
+
+// applyTo is a source after the change.
+func (c *SectionChange) applyTo(source json.RawMessage) json.RawMessage {
+	next := sections{}
+	if len(source) > 0 && json.Unmarshal(source, &next) != nil {
+		return source
+	}
+	maps.Copy(next, c.Set)
+	names := slices.Concat(slices.Collect(maps.Keys(c.Put)), slices.Collect(maps.Keys(c.Drop)))
+	slices.Sort(names)
+	for _, name := range slices.Compact(names) {
+		next[name] = changedSection(next[name], c.Put[name], c.Drop[name])
+		if next[name] == nil {
+			delete(next, name)
+		}
+	}
+	text, err := json.Marshal(next)
+	if err != nil {
+		panic("catalog: a source does not encode: " + err.Error())
+	}
+	return text
+}
+
+// changedSection is a section after items were put and dropped. What is put into something
+// that is no list of items replaces it.
+func changedSection(section, put json.RawMessage, drop []string) json.RawMessage {
+	old, isList := readNamedItems(section)
+	added, putsList := readNamedItems(put)
+	if !isList || !putsList {
+		if len(put) > 0 {
+			return put
+		}
+		return section
+	}
+	merged := merge(old, added, drop, func(i namedItem) string { return i.name })
+	texts := []json.RawMessage{}
+	for _, i := range merged {
+		texts = append(texts, i.text)
+	}
+	text, err := json.Marshal(texts)
+	if err != nil {
+		panic("catalog: a section does not encode: " + err.Error())
+	}
+	return text
+}
+
+// namedItem is an item of a section, as it was sent.
+type namedItem struct {
+	name string
+	text json.RawMessage
+}
+
+// readNamedItems reads a list of items that each have a name. A section that is missing is a
+// list without items.
+func readNamedItems(section json.RawMessage) (items []namedItem, ok bool) {
+	if len(section) == 0 {
+		return nil, true
+	}
+	var texts []json.RawMessage
+	if json.Unmarshal(section, &texts) != nil {
+		return nil, false
+	}
+	for _, text := range texts {
+		var item struct {
+			Name string `json:"name"`
+		}
+		if json.Unmarshal(text, &item) != nil || item.Name == "" {
+			return nil, false
+		}
+		items = append(items, namedItem{item.Name, text})
+	}
+	return items, true
+}
--- a/internal/api/catalog/tenant.go
+++ b/internal/api/catalog/tenant.go
@@ -15,7 +15,7 @@
 	// Keys are the API keys. A tenant without any hands nothing in.
 	Keys []APIKey `json:"keys,omitempty"`
 	// Weight is the jobs a second, in thousandths, that are the tenant's share when the
-	// runners are full.
+	// runners are full; 0 is no such bound.
 	Weight int64           `json:"weight"`
 	Quota  Quota           `json:"quota"`
 	Source json.RawMessage `json:"source,omitempty"`
@@ -30,20 +30,34 @@
 	GPUs int64 `json:"gpus,omitempty"`
 }
 
-// idleShare is the part of a quota, as a divisor, below which a tenant may start any one
-// task more.
+// idleShare is the part of a quota, as a divisor, up to which a tenant may pass its quota by
+// one task.
 const idleShare = 2
 
-// Admits tells whether a tenant that has used running may start more, which is so many
-// tasks. One task is admitted while less than half of the quota is used, however large it
-// is: otherwise a task of more than half of the quota might wait for ever.
-func (q Quota) Admits(used, more job.Demand, tasks int) bool {
-	after := used.Plus(more)
-	if within(after.CPU(), q.MilliCores) && within(after.Mem, q.Mem) && within(after.GPUs, q.GPUs) {
+// Admits tells whether a tenant that has used running may start so many tasks more, together
+// or not at all. Up to half of the quota in use the last of them may pass it: otherwise a large
+// task or gang might wait for ever behind small ones.
+func (q Quota) Admits(used, task job.Demand, tasks int) bool {
+	var others job.Demand
+	for range tasks - 1 {
+		others = others.Plus(task)
+	}
+	if q.Holds(used.Plus(others).Plus(task)) {
 		return true
 	}
-	idle := within(used.CPU()*idleShare, q.MilliCores) && within(used.Mem*idleShare, q.Mem) && within(used.GPUs*idleShare, q.GPUs)
-	return tasks == 1 && idle
+	twice := job.Demand{}
+	for range idleShare {
+		twice = twice.Plus(used)
+	}
+	return q.Holds(twice) && q.Holds(used.Plus(others))
+}
+
+// IsZero tells whether the quota bounds nothing.
+func (q Quota) IsZero() bool { return q == Quota{} }
+
+// Holds tells whether an amount in use is within the quota.
+func (q Quota) Holds(used job.Demand) bool {
+	return within(used.CPU(), q.MilliCores) && within(used.Mem, q.Mem) && within(used.GPUs, q.GPUs)
 }
 
 // within tells whether an amount keeps a bound, of which 0 is none.
@@ -51,8 +65,12 @@
 
 // Bounds of the fields of tenants.
 const (
-	maxKeys     = 64
+	maxKeys     = 1024
 	maxKeyBytes = 256
+	// MaxWeight is the largest weight: a million jobs a second.
+	MaxWeight = 1_000_000_000
+	// MaxQuota is the largest bound of a quota.
+	MaxQuota = maxNumber - 1
 )
 
 func (t *Tenant) check(faults *jsondoc.FieldErrors) {
@@ -62,8 +80,8 @@
 		}
 	}
 	require(t.Name != "" && len(t.Name) <= maxNameBytes, "name", "want 1 to 128 bytes")
-	require(t.Weight > 0 && t.Weight < maxNumber, "weight", "want a number above 0")
-	require(len(t.Keys) <= maxKeys, "keys", "want 64 at most")
+	require(t.Weight >= 0 && t.Weight <= MaxWeight, "weight", "want a number from 0 to 1000000000")
+	require(len(t.Keys) <= maxKeys, "keys", "want 1024 at most")
 	for _, key := range t.Keys {
 		require(key != "" && len(key) <= maxKeyBytes, "keys", "want keys of 1 to 256 bytes")
 	}
--- a/internal/api/job/spec.go
+++ b/internal/api/job/spec.go
@@ -29,6 +29,8 @@
 	// Tenant is whose API key the job was handed in with, empty for nobody's. The leader
 	// sets it.
 	Tenant string `json:"tenant,omitempty"`
+	// KeyDigest is the digest of that key.
+	KeyDigest string `json:"keyDigest,omitempty"`
 	// Payload is handed to whatever runs the tasks.
 	Payload string `json:"text,omitempty"`
 	// Repeat has the steps run many times, nil for once.
@@ -107,6 +109,7 @@
 func (s *Spec) Checksum() string {
 	content := *s
 	content.Tenant = ""
+	content.KeyDigest = ""
 	text, err := json.Marshal(&content)
 	if err != nil {
 		panic(fmt.Sprintf("job: a spec must always encode: %v", err))
--- a/internal/controlplane/authentication.go
+++ b/internal/controlplane/authentication.go
@@ -8,28 +8,36 @@
 	"orchidward/internal/api/identifier"
 )
 
+// caller is who makes a request: a tenant, by the digest of its API key. Requests without a
+// key are those of operators, or were let through by a gateway because the queue asks for
+// none.
+type caller struct {
+	tenant string
+	digest catalog.KeyDigest
+}
+
 // authenticate finds the tenant whose API key came with a request, by the catalogue in force
-// here: the gateway that took the request may have an older one. tenant is empty for a
-// request without a key; ok is false when the key belongs to nobody.
-func (s *Server) authenticate(r *apiRequest) (tenant string, ok bool) {
+// here: the gateway that took the request may have an older one. It is not ok when the key
+// belongs to nobody.
+func (s *Server) authenticate(r *apiRequest) (by caller, ok bool) {
 	query, err := url.ParseQuery(r.Query)
 	if err != nil {
-		return "", false
+		return caller{}, false
 	}
-	digest := query.Get(endpoint.CredentialParam)
-	if digest == "" {
-		return "", true
+	by.digest = catalog.KeyDigest(query.Get(endpoint.CredentialParam))
+	if by.digest == "" {
+		return by, true
 	}
 	s.trackRouting()
-	return s.routing.keys.Owner(catalog.KeyDigest(digest))
+	by.tenant, ok = s.routing.keys.Owner(by.digest)
+	return by, ok
 }
 
-// mayAccess reports whether a request of a tenant may see and cancel a job: one of its own,
-// of nobody, or of a tenant that is no more. Requests without a key are those of operators, or were let through by a
-// gateway because the queue asks for none.
-func (s *Server) mayAccess(tenant string, key identifier.JobKey) bool {
+// mayAccess reports whether a caller may see and cancel a job: an operator, the job's tenant,
+// who bears the key that the job was handed in with, or any tenant where the job's is no more.
+func (s *Server) mayAccess(by caller, key identifier.JobKey) bool {
 	j := s.state.Jobs[key]
-	if tenant == "" || j == nil || j.Spec.Tenant == tenant {
+	if by.digest == "" || j == nil || j.Spec.Tenant == by.tenant || j.Spec.KeyDigest == string(by.digest) {
 		return true
 	}
 	return s.state.Catalog.Tenant(j.Spec.Tenant) == nil
@@ -43,7 +51,7 @@
 	default:
 		return true
 	}
-	tenant, ok := s.authenticate(r)
+	by, ok := s.authenticate(r)
 	key := r.endpoint.JobKey()
 	switch {
 	case !ok:
@@ -51,8 +59,8 @@
 	case r.endpoint.Kind == endpoint.GetQueue:
 		s.replyQueue(r, r.endpoint.Name)
 	case r.endpoint.Kind == endpoint.SubmitJob:
-		s.submitJob(r, key, tenant)
-	case !s.mayAccess(tenant, key):
+		s.submitJob(r, key, by)
+	case !s.mayAccess(by, key):
 		s.replyError(r.peer, r.ID, errNoJob)
 	case r.endpoint.Kind == endpoint.GetJob:
 		s.replyJob(r, key)
--- a/internal/controlplane/poll_answers.go
+++ b/internal/controlplane/poll_answers.go
@@ -118,7 +118,7 @@
 		case lease.RevokeReason != "":
 			response.Stops = append(response.Stops, lease.ID)
 		case contact.running[lease.ID] || contact.draining || runner.CordonedBy() != "":
-		case !s.state.ExceedsQuota(lease):
+		case !s.exceedsQuota(lease):
 			response.Starts = append(response.Starts, s.startOrder(lease))
 		}
 	})
--- a/internal/controlplane/requests.go
+++ b/internal/controlplane/requests.go
@@ -114,8 +114,8 @@
 	}
 }
 
-// submitJob proposes a job of a tenant, empty for a job of nobody.
-func (s *Server) submitJob(r *apiRequest, key identifier.JobKey, tenant string) {
+// submitJob proposes a job in the name of whoever handed it in.
+func (s *Server) submitJob(r *apiRequest, key identifier.JobKey, by caller) {
 	var faults jsondoc.FieldErrors
 	spec := job.Read(r.Body, &faults)
 	if faults.Any() {
@@ -131,7 +131,8 @@
 		return
 	}
 	if spec.Queue != "" {
-		spec.Tenant = tenant
+		spec.Tenant = by.tenant
+		spec.KeyDigest = string(by.digest)
 	}
 	s.proposeFor(r, &state.Command{SubmitJob: &state.SubmitJob{Key: key, Spec: *spec}})
 }
@@ -164,6 +165,9 @@
 
 func changeCatalog(s *Server, r *apiRequest, read func(text []byte, f *jsondoc.FieldErrors) *catalog.Change) {
 	change, ok := readChange(s, r, read)
+	if ok && s.state.Level < state.TenantLevel {
+		change = change.ForServersWithoutTenants()
+	}
 	switch {
 	case !ok:
 	case s.state.Level < state.CatalogLevel:
--- a/internal/controlplane/runner_health.go
+++ b/internal/controlplane/runner_health.go
@@ -131,6 +131,7 @@
 // not: the runner is leaving or cordoned, or the tenant has more in use than its quota.
 func (s *Server) neverStarted() []identifier.LeaseID {
 	var list []identifier.LeaseID
+	anyOverQuota := s.state.AnyOverQuota()
 	for _, name := range s.state.RunnerNames() {
 		contact := s.leader.runners[name]
 		runner := s.state.Runners[name]
@@ -138,13 +139,16 @@
 			continue
 		}
 		closed := contact.draining || runner.CordonedBy() != ""
+		if !closed && !anyOverQuota {
+			continue
+		}
 		for _, id := range runner.LeaseIDs() {
 			lease := s.state.Leases[id]
 			_, ended := contact.ended[id]
 			if ended || contact.running[id] || lease.RevokeReason != "" {
 				continue
 			}
-			if closed || s.state.ExceedsQuota(lease) {
+			if closed || s.exceedsQuota(lease) {
 				list = append(list, id)
 			}
 		}
--- a/internal/scheduler/job_order.go
+++ b/internal/scheduler/job_order.go
@@ -30,8 +30,11 @@
 	lateFactor = 3
 	// latencyFactorUnit is the latency factor of 1: factors are in thousandths.
 	latencyFactorUnit = 1000
-	// maxOrderedJobs bounds the jobs that one cycle puts in order.
+	// maxOrderedJobs bounds the jobs that one cycle puts in order, maxTenantJobs those of
+	// one tenant among them, and maxVisitedJobs those that it looks at for this.
 	maxOrderedJobs = 2000
+	maxTenantJobs  = 600
+	maxVisitedJobs = 20_000
 )
 
 // rankedJob is a queue's job with what its place in the order depends on.
@@ -74,12 +77,22 @@
 	}
 }
 
-// rankJobs lists the jobs of queues that have something to place, in their order.
+// rankJobs lists the jobs of queues that have something to place, in their order. A tenant's
+// backlog hides nobody else's work: what waits for the tenant's own quota is left out, and so
+// is what is beyond its part of the list.
 func (c *cycle) rankJobs() []rankedJob {
 	var ranked []rankedJob
+	visited := 0
+	byTenant := map[string]int{}
 	c.store.EachQueueJob(func(j *state.Job) bool {
-		ranked = append(ranked, c.rankJob(j))
-		return len(ranked) < maxOrderedJobs
+		visited++
+		tenant := j.Spec.Tenant
+		crowded := tenant != "" && byTenant[tenant] >= maxTenantJobs
+		if !crowded && !c.heldByQuota(j) {
+			byTenant[tenant]++
+			ranked = append(ranked, c.rankJob(j))
+		}
+		return len(ranked) < maxOrderedJobs && visited < maxVisitedJobs
 	})
 	slices.SortFunc(ranked, compareRanked)
 	return ranked
--- a/internal/scheduler/queues.go
+++ b/internal/scheduler/queues.go
@@ -12,7 +12,7 @@
 
 // tryQueueUnit tries to place a unit of a queue's job.
 func (c *cycle) tryQueueUnit(u unit) placementResult {
-	budget := c.tenantBudget(u)
+	budget := c.tenantBudget(u.job)
 	if !budget.withinQuota(u) {
 		c.plan.Reasons.add(u, reasonQuota)
 		return placementResult{overQuota: true}
--- /dev/null
+++ b/internal/scheduler/tenant_backlog_test.go
@@ -0,0 +1,69 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+
+	"orchidward/internal/api/catalog"
+	"orchidward/internal/api/job"
+	"orchidward/internal/state"
+)
+
+// TestBacklogOverQuotaStarvesNobody: a tenant whose jobs wait for its quota, however many they are, keeps no other tenant's job from free runners.
+func TestBacklogOverQuotaStarvesNobody(t *testing.T) {
+	store := newTenantStore(t, 8,
+		catalog.Tenant{Name: "hot", Weight: 1000, Quota: catalog.Quota{MilliCores: 1000}},
+		catalog.Tenant{Name: "usual", Weight: 1000})
+	for i := range maxOrderedJobs + 1 {
+		submitAs(t, store, "hot", fmt.Sprint("hot", i), 10_000, job.Step{Tasks: 1, Demand: job.Demand{MilliCores: 1000}})
+	}
+	submitAs(t, store, "usual", "usual", 10_001, job.Step{Tasks: 1, Demand: job.Demand{MilliCores: 1000}})
+	scheduleAndPlace(t, store)
+	if used := store.TenantUse("usual").CPU(); used != 1000 {
+		t.Errorf("with all other runners free the other tenant uses %d", used)
+	}
+}
+
+// TestIdleTenantStartsGang: a gang that is wider than its tenant's quota by less than a task starts once the tenant has nothing running.
+func TestIdleTenantStartsGang(t *testing.T) {
+	store := newTenantStore(t, 8, catalog.Tenant{Name: "small", Weight: 1000, Quota: catalog.Quota{MilliCores: 5000}})
+	submitAs(t, store, "small", "gang", 10, job.Step{Tasks: 3, Gang: true, Demand: job.Demand{MilliCores: 2000}})
+	scheduleAndPlace(t, store)
+	if used := store.TenantUse("small").CPU(); used != 6000 {
+		t.Errorf("the gang of 3 x 2000 uses %d", used)
+	}
+}
+
+// TestGangStartsBelowHalfOfQuota: a gang of more than half of a quota starts while its tenant uses less than half, where that exceeds the quota by less than a task.
+func TestGangStartsBelowHalfOfQuota(t *testing.T) {
+	store := newTenantStore(t, 8, catalog.Tenant{Name: "small", Weight: 1000, Quota: catalog.Quota{MilliCores: 5000}})
+	submitAs(t, store, "small", "steady", 10, job.Step{Tasks: 1, Demand: job.Demand{MilliCores: 2000}})
+	scheduleAndPlace(t, store)
+	submitAs(t, store, "small", "gang", 20, job.Step{Tasks: 2, Gang: true, Demand: job.Demand{MilliCores: 2000}})
+	scheduleAndPlace(t, store)
+	if used := store.TenantUse("small").CPU(); used != 6000 {
+		t.Errorf("the steady task and the gang use %d", used)
+	}
+}
+
+// TestExcessBacklogHidesNobody: jobs beyond a tenant's weight, however many they are, keep no job within another's weight from being placed first.
+func TestExcessBacklogHidesNobody(t *testing.T) {
+	store := newTenantStore(t, 1,
+		catalog.Tenant{Name: "hot", Weight: 1000},
+		catalog.Tenant{Name: "usual", Weight: 1000})
+	whole := job.Step{Tasks: 1, Demand: job.Demand{MilliCores: 8000}}
+	for i := range maxOrderedJobs + 100 {
+		submitAs(t, store, "hot", fmt.Sprint("hot", i), 10_000, whole)
+	}
+	submitAs(t, store, "usual", "usual", 10_001, whole)
+	for turn := range 12 {
+		plan := scheduleAndPlace(t, store)
+		if len(plan.Placements) == 1 && plan.Placements[0].Job == "q/usual" {
+			return
+		}
+		if turn == 11 {
+			t.Errorf("after %d turns the job within its tenant's weight still waits", turn+1)
+		}
+		endLeases(t, store, state.OutcomeSuccess, keepNone)
+	}
+}
--- a/internal/scheduler/tenants.go
+++ b/internal/scheduler/tenants.go
@@ -3,6 +3,7 @@
 import (
 	"orchidward/internal/api/catalog"
 	"orchidward/internal/api/job"
+	"orchidward/internal/state"
 )
 
 // tenantBudget is what a tenant may have in use, and what it has, placements of this cycle
@@ -12,9 +13,9 @@
 	used  job.Demand
 }
 
-// tenantBudget looks up the budget of the unit's tenant, nil for the job of no tenant.
-func (c *cycle) tenantBudget(u unit) *tenantBudget {
-	tenant := u.job.Spec.Tenant
+// tenantBudget looks up the budget of a job's tenant, nil for the job of no tenant.
+func (c *cycle) tenantBudget(j *state.Job) *tenantBudget {
+	tenant := j.Spec.Tenant
 	if tenant == "" {
 		return nil
 	}
@@ -28,7 +29,31 @@
 
 // withinQuota tells whether the tenant's quota admits the unit.
 func (b *tenantBudget) withinQuota(u unit) bool {
-	return b == nil || b.quota.Admits(b.used, u.demand(), len(u.taskNumbers))
+	return b == nil || b.quota.Admits(b.used, u.spec().Demand, len(u.taskNumbers))
+}
+
+// heldByQuota tells whether a job has nothing to place that its tenant's quota admits, and
+// says so of its steps.
+func (c *cycle) heldByQuota(j *state.Job) bool {
+	budget := c.tenantBudget(j)
+	if budget == nil || budget.quota.IsZero() {
+		return false
+	}
+	for step, spec := range j.Spec.Steps {
+		if !j.Ready(step) {
+			continue
+		}
+		waiting := j.WaitingTasks(step)
+		if !spec.Gang {
+			waiting = waiting[:1]
+		}
+		u := unit{job: j, step: step, taskNumbers: waiting}
+		if budget.withinQuota(u) {
+			return false
+		}
+		c.plan.Reasons.add(u, reasonQuota)
+	}
+	return true
 }
 
 // take counts a unit that is placed.
--- a/internal/scheduler/tenants_test.go
+++ b/internal/scheduler/tenants_test.go
@@ -37,7 +37,7 @@
 	store := newTenantStore(t, 8,
 		catalog.Tenant{Name: "small", Weight: 1 << 30, Quota: catalog.Quota{MilliCores: 5000}},
 		catalog.Tenant{Name: "free", Weight: 1 << 30})
-	submitAs(t, store, "small", "gang", 10, job.Step{Tasks: 3, Gang: true, Demand: job.Demand{MilliCores: 2000}})
+	submitAs(t, store, "small", "gang", 10, job.Step{Tasks: 4, Gang: true, Demand: job.Demand{MilliCores: 2000}})
 	for i := range 700 {
 		submitAs(t, store, "small", fmt.Sprint("small", i), 10, job.Step{Tasks: 1, Demand: job.Demand{MilliCores: 2000}})
 	}
--- a/internal/state/placement.go
+++ b/internal/state/placement.go
@@ -40,7 +40,7 @@
 			return false
 		}
 	}
-	if !s.withinQuota(j, check.total, len(placement.Tasks)) {
+	if !s.withinQuota(j, step.Demand, len(placement.Tasks)) {
 		return false
 	}
 	return j.Terms != nil || s.inUse[j.Spec.Row].Plus(check.total).WithinLimit(s.RowLimit(j.Spec.Row))
--- a/internal/state/tenant_rate.go
+++ b/internal/state/tenant_rate.go
@@ -6,8 +6,10 @@
 	// jobCredit is what a job takes of its tenant's credit, which grows by the tenant's
 	// weight each millisecond.
 	jobCredit = 1_000_000
-	// creditSpan is how long credit is collected while a tenant hands nothing in.
-	creditSpan clock.Millis = 5000
+	// creditSpan is how long credit is collected while a tenant hands nothing in, or until
+	// it is enough for one job; maxCreditSpan bounds that.
+	creditSpan    clock.Millis = 5000
+	maxCreditSpan clock.Millis = 24 * 60 * 60 * 1000
 )
 
 // tenantRate is how fast a tenant hands jobs in, as a token bucket that its weight fills.
@@ -19,7 +21,7 @@
 // take takes a job's credit and tells whether there was enough.
 func (r *tenantRate) take(weight int64, now clock.ClusterTime) bool {
 	limit := max(jobCredit, weight*int64(creditSpan))
-	gained := weight * int64(min(now.Since(r.at), creditSpan))
+	gained := weight * int64(min(now.Since(r.at), maxCreditSpan))
 	r.credit = min(limit, r.credit+gained)
 	r.at = now
 	if r.credit < jobCredit {
@@ -37,7 +39,7 @@
 		return false
 	}
 	tenant := s.Catalog.Tenant(name)
-	if tenant == nil {
+	if tenant == nil || tenant.Weight == 0 {
 		return false
 	}
 	rate := s.tenantRates[name]
--- a/internal/state/tenants.go
+++ b/internal/state/tenants.go
@@ -22,12 +22,12 @@
 	return found.Quota
 }
 
-// tenantOf is the tenant that a lease counts for, empty for none.
-func (s *Store) tenantOf(lease *Lease) string { return s.Jobs[lease.Task.Job].Spec.Tenant }
+// TenantOf is the tenant that a lease counts for, empty for none.
+func (s *Store) TenantOf(lease *Lease) string { return s.Jobs[lease.Task.Job].Spec.Tenant }
 
 // countTenantUse sets the use of a lease's tenant.
 func (s *Store) countTenantUse(lease *Lease, use job.Demand) {
-	tenant := s.tenantOf(lease)
+	tenant := s.TenantOf(lease)
 	switch {
 	case tenant == "":
 	case use == job.Demand{}:
@@ -38,18 +38,36 @@
 }
 
 // withinQuota tells whether tasks may be placed by the quota of their job's tenant.
-func (s *Store) withinQuota(j *Job, demand job.Demand, tasks int) bool {
+func (s *Store) withinQuota(j *Job, task job.Demand, tasks int) bool {
 	tenant := j.Spec.Tenant
-	return tenant == "" || s.TenantQuota(tenant).Admits(s.TenantUse(tenant), demand, tasks)
+	return tenant == "" || s.TenantQuota(tenant).Admits(s.TenantUse(tenant), task, tasks)
 }
 
-// ExceedsQuota tells whether the attempt of a lease must not start now, as its tenant has more
-// in use than its quota admits: the quota was lowered since the lease was opened.
-func (s *Store) ExceedsQuota(lease *Lease) bool {
-	tenant := s.tenantOf(lease)
-	if tenant == "" {
+// OverQuota tells whether a tenant has more in use than its quota, as that was lowered or as
+// its last task passed it.
+func (s *Store) OverQuota(tenant string) bool {
+	return tenant != "" && !s.TenantQuota(tenant).Holds(s.TenantUse(tenant))
+}
+
+// AnyOverQuota tells whether some tenant has more in use than its quota.
+func (s *Store) AnyOverQuota() bool {
+	if s.Catalog == nil || len(s.tenantUse) == 0 {
 		return false
 	}
-	others := s.TenantUse(tenant).Minus(lease.Demand)
-	return !s.TenantQuota(tenant).Admits(others, lease.Demand, 1)
+	for i := range s.Catalog.Tenants {
+		tenant := &s.Catalog.Tenants[i]
+		if !tenant.Quota.Holds(s.tenantUse[tenant.Name]) {
+			return true
+		}
+	}
+	return false
+}
+
+// EachTenantLease visits the open leases of a tenant's jobs, in no order.
+func (s *Store) EachTenantLease(tenant string, visit func(lease *Lease)) {
+	for _, lease := range s.Leases {
+		if s.TenantOf(lease) == tenant {
+			visit(lease)
+		}
+	}
 }
--- a/internal/state/transitions.go
+++ b/internal/state/transitions.go
@@ -32,7 +32,7 @@
 	runner.leases[lease.ID] = lease
 	runner.used = runner.used.Plus(lease.Demand)
 	s.inUse[lease.Row] = s.inUse[lease.Row].Plus(lease.Demand)
-	s.countTenantUse(lease, s.tenantUse[s.tenantOf(lease)].Plus(lease.Demand))
+	s.countTenantUse(lease, s.tenantUse[s.TenantOf(lease)].Plus(lease.Demand))
 	s.Jobs[lease.Task.Job].openLeases++
 }
 
@@ -45,6 +45,6 @@
 	delete(runner.leases, lease.ID)
 	runner.used = runner.used.Minus(lease.Demand)
 	s.inUse[lease.Row] = s.inUse[lease.Row].Minus(lease.Demand)
-	s.countTenantUse(lease, s.tenantUse[s.tenantOf(lease)].Minus(lease.Demand))
+	s.countTenantUse(lease, s.tenantUse[s.TenantOf(lease)].Minus(lease.Demand))
 	s.Jobs[lease.Task.Job].openLeases--
 }
