--- a/tests/mutation/jobs.go
+++ b/tests/mutation/jobs.go
@@ -44,8 +44,8 @@
 		also: []sourceedit.Edit{
 			{
 				File:        "internal/controlplane/poll_answers.go",
-				Original:    `case !contact.running[lease.ID] && !contact.draining && runner.CordonedBy() == "":`,
-				Replacement: "case !contact.running[lease.ID]:",
+				Original:    `case contact.running[lease.ID] || contact.draining || runner.CordonedBy() != "":`,
+				Replacement: "case contact.running[lease.ID]:",
 			},
 			{
 				File:        "internal/controlplane/scheduling.go",
