--- a/internal/consensus/raft/membership.go
+++ b/internal/consensus/raft/membership.go
@@ -18,11 +18,16 @@
 	if e.Kind != EntryConfig {
 		return
 	}
+	r.configurations = append(r.configurations, configuration{e.Index, e.Members()})
+}
+
+// Members is the member list that an entry of kind EntryConfig carries.
+func (e Entry) Members() []Member {
 	var members []Member
 	if err := json.Unmarshal(e.Data, &members); err != nil {
 		panic("raft: unreadable member list in the log: " + err.Error())
 	}
-	r.configurations = append(r.configurations, configuration{e.Index, members})
+	return members
 }
 
 // truncateConfigurations goes back to the list before an index, as the entries
--- a/internal/controlplane/apply.go
+++ b/internal/controlplane/apply.go
@@ -107,7 +107,7 @@
 	s.bytesSinceSnapshot += int64(len(entry.Data))
 	if entry.Kind != raft.EntryCommand {
 		if entry.Kind == raft.EntryConfig {
-			s.logEvent("members", "list", s.raft.Members())
+			s.logEvent("members", "index", entry.Index, "list", entry.Members())
 		}
 		return
 	}
--- a/internal/controlplane/membership.go
+++ b/internal/controlplane/membership.go
@@ -42,11 +42,39 @@
 func (s *Server) changeMembership(statuses []raft.MemberStatus) {
 	members := s.memberStates(statuses)
 	established := s.now.Since(s.leader.since) > s.voterSilentLimit()
-	if next := nextMembers(members, s.wantedVoters(members), established); next != nil {
-		s.raft.ProposeMembers(next)
+	wanted := s.wantedVoters(members)
+	next := nextMembers(members, wanted, established)
+	if next != nil && s.raft.ProposeMembers(next) {
+		s.logMembershipChange(members, next, wanted)
 	}
 }
 
+// logMembershipChange logs why the group is changed: how many voters are wanted, and which
+// members are alive.
+func (s *Server) logMembershipChange(members []memberState, next []raft.Member, wanted int) {
+	var live []string
+	var silent []string
+	for _, member := range members {
+		if member.live {
+			live = append(live, member.ID.String())
+		} else {
+			silent = append(silent, member.ID.String())
+		}
+	}
+	s.logEvent("membership-change", "wantedVoters", wanted, "votersBefore", countVoters(members), "list", next,
+		"live", live, "silent", silent)
+}
+
+func countVoters(members []memberState) int {
+	voters := 0
+	for _, member := range members {
+		if member.Voter {
+			voters++
+		}
+	}
+	return voters
+}
+
 // wantedVoters is how many voters there should be. Five become three only when fewer
 // than five have been alive for long, and never where three could not bear the losses that
 // are tolerated; on the way up or down, with four, there is no reason to linger.
