Catalogue: tenants are updated without their keys being known

Cause: API keys are never read back, and a patch replaced a tenant as a whole: nobody but who had kept all keys could change a weight, or add a key. Change: a patch may update a tenant: keys to add and to drop, weight, quota; what is left out stays. A tenant with a source of its own is replaced as a whole only, so that what is read back stays true. From TenantLevel on, as all that touches tenants.

--- a/internal/api/catalog/change.go
+++ b/internal/api/catalog/change.go
@@ -23,10 +23,11 @@
 	Pools      []Pool   `json:"pools,omitempty"`
 	DropQueues []string `json:"dropQueues,omitempty"`
 	DropPools  []string `json:"dropPools,omitempty"`
-	// Tenants, DropTenants and Authenticated are used from the level on that has tenants.
+	// Tenants, DropTenants, TenantUpdates and Authenticated are used from the level on that has tenants.
 	Tenants       []Tenant        `json:"tenants,omitempty"`
 	DropTenants   []string        `json:"dropTenants,omitempty"`
 	Authenticated bool            `json:"authenticated,omitempty"`
+	TenantUpdates []TenantUpdate  `json:"tenantUpdates,omitempty"`
 	Source        json.RawMessage `json:"source,omitempty"`
 	// Sections changes single sections of the source in place of replacing it, nil where the
 	// source is replaced or left as it is.
@@ -61,6 +62,9 @@
 		Pools   []string `json:"pools"`
 		Tenants []string `json:"tenants"`
 	} `json:"drop"`
+	Update struct {
+		Tenants []TenantUpdate `json:"tenants"`
+	} `json:"update"`
 	Source json.RawMessage `json:"source"`
 	// Rest is what the change puts into, and drops from, sections of the source.
 	Rest []map[string]json.RawMessage `json:"rest"`
@@ -100,6 +104,7 @@
 		Tenants:       doc.Put.Tenants,
 		DropTenants:   doc.Drop.Tenants,
 		Authenticated: len(doc.Put.Tenants) > 0,
+		TenantUpdates: doc.Update.Tenants,
 
 		Source: doc.Source,
 	}
@@ -152,6 +157,9 @@
 	for i := range c.Tenants {
 		c.Tenants[i].check(faults)
 	}
+	for i := range c.TenantUpdates {
+		c.TenantUpdates[i].check(faults)
+	}
 	hash := sha256.Sum256(text)
 	c.Checksum = hex.EncodeToString(hash[:checksumBytes])
 	return c
@@ -169,7 +177,7 @@
 // TouchesTenants tells whether the change needs servers that know tenants.
 func (c *Change) TouchesTenants() bool {
 	keyless := slices.ContainsFunc(c.Queues, func(q Queue) bool { return q.Keyless })
-	return c.Authenticated || keyless || len(c.Tenants)+len(c.DropTenants) > 0
+	return c.Authenticated || keyless || len(c.Tenants)+len(c.DropTenants)+len(c.TenantUpdates) > 0
 }
 
 func (q *Queue) check(faults *jsondoc.FieldErrors) {
--- a/internal/api/catalog/merge.go
+++ b/internal/api/catalog/merge.go
@@ -25,7 +25,11 @@
 		next.Authenticated = c.Authenticated || change.Authenticated
 		next.Source = c.patchedSource(change)
 	}
-	if err := next.validate(c.Version); err != nil {
+	var err error
+	if next.Tenants, err = updateTenants(next.Tenants, change.TenantUpdates); err != nil {
+		return nil, err
+	}
+	if err = next.validate(c.Version); err != nil {
 		return nil, err
 	}
 	next.KeySalt = c.KeySalt
