GET /v1/tenants; the key of a submission by HTTP

Cause: nobody could see what a tenant has in use, and a gateway's own HTTP side took no key, so that every submission to a protected queue got 401 there. Change: /v1/tenants shows weight, quota, use, waiting tasks and the number of keys, neither keys nor digests.

--- a/internal/api/endpoint/endpoint.go
+++ b/internal/api/endpoint/endpoint.go
@@ -31,6 +31,8 @@
 	ReplaceCatalog
 	// PatchCatalog changes items of the catalogue.
 	PatchCatalog
+	// ListTenants lists the tenants, without their API keys.
+	ListTenants
 	// GetLimits reads the limits table.
 	GetLimits
 	// ReplaceLimits replaces the whole limits table.
@@ -147,6 +149,7 @@
 	drainsCollection:  ListDrains,
 	serversCollection: ListServers,
 	fenceCollection:   GetFencingToken,
+	tenantsCollection: ListTenants,
 }
 
 // parseDocument parses the methods of a document that is read and changed as one.
--- a/internal/api/endpoint/endpoint_test.go
+++ b/internal/api/endpoint/endpoint_test.go
@@ -22,6 +22,7 @@
 		{http.MethodGet, CatalogPath, Endpoint{Kind: GetCatalog}},
 		{http.MethodPut, CatalogPath, Endpoint{Kind: ReplaceCatalog}},
 		{http.MethodPatch, CatalogPath, Endpoint{Kind: PatchCatalog}},
+		{http.MethodGet, TenantsPath, Endpoint{Kind: ListTenants}},
 		{http.MethodGet, LimitsPath, Endpoint{Kind: GetLimits}},
 		{http.MethodPut, LimitsPath, Endpoint{Kind: ReplaceLimits}},
 		{http.MethodPatch, LimitsPath, Endpoint{Kind: PatchLimits}},
--- a/internal/api/endpoint/path.go
+++ b/internal/api/endpoint/path.go
@@ -10,6 +10,7 @@
 	statesCollection  = "states"
 	queuesCollection  = "queues"
 	catalogCollection = "catalog"
+	tenantsCollection = "tenants"
 	limitsCollection  = "table"
 	runnersCollection = "runners"
 	fenceCollection   = "fence"
@@ -23,6 +24,7 @@
 const (
 	JobsPath         = "/" + version + "/" + jobsCollection
 	CatalogPath      = "/" + version + "/" + catalogCollection
+	TenantsPath      = "/" + version + "/" + tenantsCollection
 	LimitsPath       = "/" + version + "/" + limitsCollection
 	RunnersPath      = "/" + version + "/" + runnersCollection
 	FencingTokenPath = "/" + version + "/" + fenceCollection
--- a/internal/controlplane/requests.go
+++ b/internal/controlplane/requests.go
@@ -89,6 +89,8 @@
 		changeCatalog(s, r, catalog.ReadWhole)
 	case endpoint.PatchCatalog:
 		changeCatalog(s, r, catalog.ReadPatch)
+	case endpoint.ListTenants:
+		s.replyJSON(r.peer, r.ID, http.StatusOK, s.tenantDocs())
 	case endpoint.GetLimits:
 		s.reply(r.peer, r.ID, http.StatusOK, s.state.Limits.JSON(), 0)
 	case endpoint.ReplaceLimits:
--- a/internal/daemon/gatewayd/daemon_fixture_test.go
+++ b/internal/daemon/gatewayd/daemon_fixture_test.go
@@ -51,6 +51,14 @@
 // startLeader listens for gateways until the group stops.
 func startLeader(t *testing.T, group *lifecycle.Group) (leader *fakeLeader, addr string) {
 	t.Helper()
+	return startLeaderWith(t, group, func(*routing.FullTable) {})
+}
+
+// startLeaderWith listens for gateways with a routing table that is completed by the caller.
+func startLeaderWith(t *testing.T, group *lifecycle.Group, complete func(table *routing.FullTable)) (leader *fakeLeader, addr string) {
+	t.Helper()
+	table := &routing.FullTable{Epoch: 1, Rows: limits.Default().Rows}
+	complete(table)
 	listener, err := link.Listen("127.0.0.1:0", group)
 	if err != nil {
 		t.Fatal(err)
@@ -58,7 +66,7 @@
 	leader = &fakeLeader{link: listener, members: []raft.Member{{ID: leaderNode, Addr: listener.Addr(), Voter: true}}}
 	leader.syncBody, err = json.Marshal(routing.SyncResponse{
 		Epoch:   1,
-		Table:   &routing.FullTable{Epoch: 1, Rows: limits.Default().Rows},
+		Table:   table,
 		Leader:  leaderNode.String(),
 		Members: leader.members,
 	})
--- a/internal/daemon/gatewayd/routes.go
+++ b/internal/daemon/gatewayd/routes.go
@@ -6,9 +6,11 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/gin-gonic/gin"
 
+	"orchidward/internal/api/catalog"
 	"orchidward/internal/api/endpoint"
 	"orchidward/internal/api/identifier"
 	"orchidward/internal/clock"
@@ -19,6 +21,12 @@
 // budgetHeader says how long the caller waits, in milliseconds.
 const budgetHeader = "Budget-Ms"
 
+// How a caller gives its tenant's API key.
+const (
+	authorizationHeader = "Authorization"
+	bearerScheme        = "Bearer"
+)
+
 // Bounds of a caller's budget.
 const (
 	minBudget clock.Millis = 50
@@ -31,7 +39,7 @@
 	d.http.Gin.GET(endpoint.MembersPath, d.serveMembers)
 	for _, path := range []string{
 		endpoint.JobsPath, endpoint.JobPattern, endpoint.JobStatePattern,
-		endpoint.QueuePattern, endpoint.CatalogPath, endpoint.LimitsPath,
+		endpoint.QueuePattern, endpoint.CatalogPath, endpoint.TenantsPath, endpoint.LimitsPath,
 		endpoint.RunnersPath, endpoint.PollPattern,
 		endpoint.DrainsPath, endpoint.DrainPattern, endpoint.ServersPath,
 	} {
@@ -114,9 +122,25 @@
 		Query:  c.Request.URL.RawQuery,
 		Body:   body,
 		Budget: budget,
+
+		Credential: bearerToken(c.Request.Header),
 	}, true
 }
 
+// bearerToken is the API key of a request (RFC 6750, section 2.1), which its header holds
+// alone; empty where it holds none or several.
+func bearerToken(header http.Header) catalog.APIKey {
+	values := header.Values(authorizationHeader)
+	if len(values) != 1 {
+		return ""
+	}
+	scheme, token, _ := strings.Cut(values[0], " ")
+	if !strings.EqualFold(scheme, bearerScheme) {
+		return ""
+	}
+	return catalog.APIKey(strings.TrimSpace(token))
+}
+
 // readBudget reads a caller's budget, 0 where it gives none.
 func readBudget(text string) (budget clock.Millis, ok bool) {
 	if text == "" {
--- a/internal/state/tenants.go
+++ b/internal/state/tenants.go
@@ -71,3 +71,17 @@
 		}
 	}
 }
+
+// TenantWaiting counts the tasks of each tenant's jobs that could be placed now.
+func (s *Store) TenantWaiting() map[string]int64 {
+	waiting := map[string]int64{}
+	s.EachQueueJob(func(j *Job) (more bool) {
+		for step := range j.Steps {
+			if j.Spec.Tenant != "" && j.Ready(step) {
+				waiting[j.Spec.Tenant] += int64(len(j.WaitingTasks(step)))
+			}
+		}
+		return true
+	})
+	return waiting
+}
