--- a/cmd/orchidctl/main.go
+++ b/cmd/orchidctl/main.go
@@ -32,13 +32,15 @@
 const outputJSON = "json"
 
 type flags struct {
-	Boot   string   `help:"Settings file, JSON, keys as the flags." placeholder:"FILE"`
-	Gates  []string `help:"IP:PORT of gateways, tried in turn." default:"127.0.0.1:7200" env:"ORCHIDWARD_GATES"`
-	Output string   `help:"How to print: text or json." default:"text" enum:"text,json"`
-	WaitMs int64    `help:"How long to wait for one answer." default:"6000"`
+	Boot       string   `help:"Settings file, JSON, keys as the flags." placeholder:"FILE"`
+	Gates      []string `help:"IP:PORT of gateways, tried in turn." default:"127.0.0.1:7200" env:"ORCHIDWARD_GATES"`
+	Output     string   `help:"How to print: text or json." default:"text" enum:"text,json"`
+	WaitMs     int64    `help:"How long to wait for one answer." default:"6000"`
+	APIKeyFile string   `name:"api-key-file" help:"File with a tenant's API key, for jobs of queues that ask for one." env:"ORCHIDWARD_API_KEY_FILE"`
 
 	Job     jobCommand     `cmd:"" help:"Submit, read, list and cancel jobs."`
 	Table   limitsCommand  `cmd:"" help:"Read and change the table of weights and limits."`
+	Tenant  tenantCommand  `cmd:"" help:"Read and change tenants and their API keys."`
 	Drain   drainCommand   `cmd:"" aliases:"close" help:"Drain a zone."`
 	Reopen  reopenCommand  `cmd:"" help:"Put a drained zone back into use, by the drain's id or its zone."`
 	Drains  drainsCommand  `cmd:"" aliases:"closings" help:"Show drains, or one."`
@@ -108,6 +110,12 @@
 		v.Range("wait-ms", f.WaitMs, 100, 60000)
 	})
 	client := httpclient.New(f.Gates, time.Duration(f.WaitMs)*time.Millisecond)
+	key, err := readAPIKey(f.APIKeyFile)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", programName, err)
+		os.Exit(exitCode(err))
+	}
+	client.APIKey = key
 	os.Exit(run(ctx, &api{client: client, printRaw: f.Output == outputJSON}))
 }
 
--- a/internal/transport/httpclient/attempt.go
+++ b/internal/transport/httpclient/attempt.go
@@ -70,6 +70,9 @@
 	if len(body) > 0 {
 		request.Header.Set("Content-Type", "application/json")
 	}
+	if c.APIKey != "" {
+		request.Header.Set("Authorization", "Bearer "+string(c.APIKey))
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		c.countBroken(err)
--- a/internal/transport/httpclient/client.go
+++ b/internal/transport/httpclient/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"orchidward/internal/api/catalog"
 	"orchidward/internal/gateway"
 )
 
@@ -26,6 +27,8 @@
 	Gateways []string
 	// Attempts is how often a request is tried for each gateway in the list.
 	Attempts int
+	// APIKey is the tenant's key that goes with each request, empty for none.
+	APIKey catalog.APIKey
 	// BrokenResponses counts responses that broke off: the gateway was reached, and then
 	// the connection failed before the response was complete.
 	BrokenResponses int
