--- /dev/null
+++ b/tests/soak/addresses_test.go
@@ -0,0 +1,68 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"testing"
+)
+
+// Ports of a cluster, alike on all its machines, in one block below the range that the
+// kernel gives to outgoing connections.
+const (
+	firstBlock   = 10000
+	blockCount   = 1000
+	blockPorts   = 20
+	sharedPorts  = 16
+	frontPort    = 16
+	readyPort    = 17
+	controlPort  = 18
+	reservedPort = 19
+	blockTries   = 100
+)
+
+// maxMachines is how many machines have addresses of their own.
+const maxMachines = 250
+
+// portBlock is a block of ports that no other soak uses while it is reserved.
+type portBlock struct {
+	first       int
+	reservation net.Listener
+}
+
+// machineIP is the address of a machine, counted from 0.
+func machineIP(number int) string { return fmt.Sprintf("127.0.0.%d", number+2) }
+
+// reservePorts finds a block of ports on which nobody listens.
+func reservePorts(t *testing.T) portBlock {
+	t.Helper()
+	for range blockTries {
+		first := firstBlock + blockPorts*rand.IntN(blockCount)
+		reservation, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+reservedPort))
+		if err != nil {
+			continue
+		}
+		if blockFree(first) {
+			t.Cleanup(func() { reservation.Close() })
+			return portBlock{first, reservation}
+		}
+		reservation.Close()
+	}
+	t.Fatal("no free block of ports")
+	return portBlock{}
+}
+
+func blockFree(first int) bool {
+	for port := first; port < first+reservedPort; port++ {
+		listener, err := net.Listen("tcp", fmt.Sprintf(":%d", port))
+		if err != nil {
+			return false
+		}
+		listener.Close()
+	}
+	return true
+}
+
+func (b portBlock) addr(ip string, offset int) string {
+	return fmt.Sprintf("%s:%d", ip, b.first+offset)
+}
--- /dev/null
+++ b/tests/soak/beats_test.go
@@ -0,0 +1,140 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+)
+
+// beatOn sends beats until the context ends.
+func (r *runner) beatOn(ctx context.Context) {
+	for {
+		wait := r.beat(ctx)
+		if !pause(ctx, wait) {
+			return
+		}
+	}
+}
+
+// beat sends one beat, takes its answer, and returns how long to wait for the next.
+func (r *runner) beat(ctx context.Context) time.Duration {
+	id, body := r.body()
+	sent := time.Now()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut,
+		"http://"+r.agent.control+"/orchidward/instances/"+id, bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := r.http.Do(request)
+	if err != nil {
+		return usualBeat
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode/100 != 2 || time.Since(sent) > callTimeout {
+		return usualBeat
+	}
+	return r.apply(id, text, sent)
+}
+
+// body is the beat of the runner as it is now.
+func (r *runner) body() (id string, text []byte) {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	now := time.Now()
+	r.advance(now)
+	r.callSeq++
+	active := [][]any{}
+	for task, run := range r.runs {
+		done := 100 * now.Sub(run.begun) / max(1, run.endsAt.Sub(run.begun))
+		active = append(active, []any{task, run.number, "", int64(done)})
+	}
+	finished := [][]any{}
+	for _, end := range r.ends[:min(len(r.ends), maxEnds)] {
+		finished = append(finished, []any{end.number, end.task, end.run, end.how, ""})
+	}
+	beat := map[string]any{
+		"target": serviceName, "address": r.agent.control, "zone": r.agent.zone, "revision": "v1",
+		"capacity": 8, "mode": "ready", "coldLeftMs": 0, "headroom": runnerHeadroom,
+		"labels": []string{"a", r.agent.rack}, "clockMs": now.UnixMilli(), "callSeq": r.callSeq,
+		"active": active, "finished": finished,
+	}
+	if r.draining {
+		beat["mode"] = "draining"
+		beat["departsMs"] = max(0, r.departs.Sub(now).Milliseconds())
+	}
+	return r.id, encode(beat)
+}
+
+// orders is the answer to a beat.
+type orders struct {
+	HoldMs   int64               `json:"holdMs"`
+	Observed uint64              `json:"observed"`
+	Fence    uint64              `json:"fence"`
+	Start    [][]json.RawMessage `json:"start"`
+	Stop     [][]json.RawMessage `json:"stop"`
+	RetryMs  int64               `json:"retryMs"`
+}
+
+// apply carries out the answer to a beat that a life of the runner sent.
+func (r *runner) apply(id string, text []byte, sent time.Time) time.Duration {
+	var o orders
+	if err := json.Unmarshal(text, &o); err != nil {
+		r.fleet.checker.fail("Fault", "%s: orders that can't be read: %v", r.name, err)
+		return usualBeat
+	}
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	now := time.Now()
+	r.advance(now)
+	if r.id != id || !r.up || o.Fence < r.fence {
+		return usualBeat
+	}
+	r.fence = o.Fence
+	if r.draining && r.drainAcked.IsZero() {
+		r.drainAcked = now
+	}
+	if hold := sent.Add(min(time.Duration(o.HoldMs)*time.Millisecond, holdMax)); o.HoldMs > 0 && hold.After(r.heldUntil) {
+		r.heldUntil = hold
+	}
+	r.observe(o.Observed)
+	for _, item := range o.Stop {
+		r.stop(item, now)
+	}
+	if now.Before(r.heldUntil) && o.HoldMs > 0 {
+		for _, item := range o.Start {
+			r.start(item, now)
+		}
+	}
+	return r.untilNextBeat(o, now)
+}
+
+// untilNextBeat is how long to wait: until shortly after the next end, and the usual time at
+// most.
+func (r *runner) untilNextBeat(o orders, now time.Time) time.Duration {
+	wait := usualBeat
+	if o.RetryMs > 0 {
+		wait = time.Duration(o.RetryMs) * time.Millisecond
+	}
+	for _, run := range r.runs {
+		wait = min(wait, run.endsAt.Sub(now)+beatAfterEnd)
+	}
+	return max(wait, beatAfterEnd)
+}
+
+// decode reads the items of a row in order.
+func decode(row []json.RawMessage, values ...any) bool {
+	if len(row) < len(values) {
+		return false
+	}
+	for i, value := range values {
+		if json.Unmarshal(row[i], value) != nil {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/tests/soak/client_test.go
@@ -0,0 +1,271 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// client sends requests one after another on a connection that it keeps.
+type client struct {
+	name    string
+	fleet   *fleet
+	ledger  *ledger
+	checker *checker
+	entry   *entry
+	served  *servedRequests
+	rng     *rand.Rand
+	// stubborn clients go on using a connection whose end was announced.
+	stubborn   bool
+	connection *connection
+	jobs       []*job
+	// submitting is false once the traffic has ended.
+	submitting func() bool
+}
+
+// servedRequests is when the last request was served. It is safe for concurrent use.
+type servedRequests struct {
+	mu       sync.Mutex
+	lastSent time.Time
+}
+
+// served notes that a request was served that was sent at a time.
+func (s *servedRequests) served(sent time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sent.After(s.lastSent) {
+		s.lastSent = sent
+	}
+}
+
+// since reports whether a request was served that was sent after a time.
+func (s *servedRequests) since(at time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastSent.After(at)
+}
+
+// Numbers of clients.
+const (
+	minPause      = 10 * time.Millisecond
+	maxMorePause  = 200 * time.Millisecond
+	maxSteps      = 20000
+	longPause     = 2500 * time.Millisecond
+	maxOpenJobs   = 6
+	furtherTries  = 4
+	keptJobs      = 40
+	dialRetry     = 100 * time.Millisecond
+	statusKeptFor = 100 * time.Second
+)
+
+// sendOn sends requests until the context ends.
+func (c *client) sendOn(ctx context.Context) {
+	defer c.hangUp()
+	for range maxSteps {
+		c.step(ctx)
+		wait := minPause + time.Duration(c.rng.Int64N(int64(maxMorePause)))
+		if c.rng.IntN(30) == 0 {
+			wait = longPause
+		}
+		if !pause(ctx, wait) {
+			return
+		}
+	}
+}
+
+func (c *client) step(ctx context.Context) {
+	open := c.openJobs()
+	switch draw := c.rng.IntN(100); {
+	case draw < 30 && open < maxOpenJobs && c.submitting():
+		c.submit(ctx)
+	case draw < 36 && len(c.jobs) > 0:
+		c.cancel(ctx, c.jobs[c.rng.IntN(len(c.jobs))])
+	case draw < 42 && len(c.jobs) > 0 && c.submitting():
+		c.hand(ctx, c.jobs[c.rng.IntN(len(c.jobs))], 1)
+	case draw < 48:
+		c.askCount(ctx)
+	case draw < 54:
+		c.askUnknownRoute(ctx)
+	case len(c.jobs) > 0:
+		c.ask(ctx, c.jobs[c.rng.IntN(len(c.jobs))])
+	}
+}
+
+// openJobs counts the client's jobs that are not known to have ended, and forgets the oldest
+// that have.
+func (c *client) openJobs() int {
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	open := 0
+	for _, j := range c.jobs {
+		if !j.settled && j.cancelSent.IsZero() && j.host == stableHost {
+			open++
+		}
+	}
+	for len(c.jobs) > keptJobs && (c.jobs[0].settled || !c.jobs[0].cancelSent.IsZero()) {
+		c.jobs = c.jobs[1:]
+	}
+	return open
+}
+
+// exchange sends a request on the kept connection, or on a new one.
+func (c *client) exchange(ctx context.Context, r request) (answer, *gatewayProcess) {
+	if c.connection == nil || (c.connection.closing && !c.stubborn) {
+		c.hangUp()
+		if !c.connect(ctx) {
+			return answer{}, nil
+		}
+	}
+	conn := c.connection
+	a := conn.exchange(r, usualDeadline)
+	ended := time.Now()
+	switch {
+	case a.status > 0:
+		c.checker.count(fmt.Sprintf("answers %d", a.status))
+		c.checker.took("answer", ended.Sub(a.sent))
+		if a.served() {
+			c.served.served(a.sent)
+		}
+		return a, conn.gateway
+	case a.cut:
+		c.judgeCut(conn, r, a, ended)
+	case a.whole:
+		c.checker.count("requests without an answer in time")
+	default:
+		c.checker.count("requests not sent whole")
+	}
+	c.hangUp()
+	return a, conn.gateway
+}
+
+func (c *client) connect(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		conn, err := dial(c.entry.pick(c.rng))
+		if err == nil {
+			c.connection = conn
+			return true
+		}
+		c.checker.count("connections refused")
+		pause(ctx, dialRetry)
+	}
+	return false
+}
+
+func (c *client) hangUp() {
+	if c.connection != nil {
+		c.connection.Close()
+		c.connection = nil
+	}
+}
+
+// draw draws a route and a key for a new job.
+func (c *client) draw() (r route, key string, owner tenant) {
+	known := c.ledger.base().result
+	r = known.Routes[c.rng.IntN(stableRouteCount)]
+	if c.rng.IntN(8) == 0 {
+		r = known.Routes[c.rng.IntN(len(known.Routes))]
+	}
+	owner = known.Tenants[c.rng.IntN(len(known.Tenants))]
+	key = owner.APIKeys[0]
+	switch {
+	case c.rng.IntN(6) == 0:
+		key = owner.APIKeys[c.rng.IntN(len(owner.APIKeys))]
+	case c.checker.checkTenants && c.rng.IntN(20) == 0:
+		key = fmt.Sprintf("never%x", c.rng.Uint64())
+	}
+	return r, key, owner
+}
+
+// submit hands in a new job.
+func (c *client) submit(ctx context.Context) {
+	r, key, owner := c.draw()
+	j := newJob(c.rng, r, key, owner)
+	c.fleet.mu.Lock()
+	c.fleet.jobs[j.id] = j
+	c.fleet.mu.Unlock()
+	c.hand(ctx, j, furtherTries)
+	c.fleet.mu.Lock()
+	accepted := !j.accepted.IsZero()
+	c.fleet.mu.Unlock()
+	if accepted {
+		c.jobs = append(c.jobs, j)
+	}
+}
+
+// hand hands a job in, again after an answer that leaves it open, so many times at most.
+func (c *client) hand(ctx context.Context, j *job, tries int) {
+	for range tries {
+		c.fleet.mu.Lock()
+		j.sends++
+		j.underway++
+		c.fleet.mu.Unlock()
+		a, g := c.exchange(ctx, request{http.MethodPost, j.host, j.prefix + j.id, j.key, j.body()})
+		c.fleet.mu.Lock()
+		j.underway--
+		if a.refused() {
+			j.refusals++
+		}
+		first := a.served() && j.accepted.IsZero()
+		if first {
+			j.accepted = time.Now()
+		}
+		c.fleet.mu.Unlock()
+		if first {
+			c.checker.count("jobs accepted")
+		}
+		c.judgeRoute(j.host, j.prefix, j.key, a, g)
+		if a.status > 0 && a.status != http.StatusBadGateway && a.status != http.StatusGatewayTimeout {
+			return
+		}
+	}
+}
+
+// askUnknownRoute asks for a job on a route that never was.
+func (c *client) askUnknownRoute(ctx context.Context) {
+	a, g := c.exchange(ctx, request{http.MethodGet, volatileHost, "/never/0123456789abcdef", stableKey(0), nil})
+	if g != nil && a.served() {
+		c.checker.fail("ROUTE", "%s served a request on a route that never was", g.name)
+	}
+}
+
+func (c *client) askCount(ctx context.Context) {
+	known := c.ledger.base().result
+	r := known.Routes[c.rng.IntN(len(known.Routes))]
+	a, g := c.exchange(ctx, request{http.MethodGet, r.Host, r.PathPrefix, stableKey(0), nil})
+	c.judgeRoute(r.Host, r.PathPrefix, stableKey(0), a, g)
+}
+
+// cancel cancels one of a few jobs.
+func (c *client) cancel(ctx context.Context, j *job) {
+	if c.rng.IntN(3) > 0 {
+		return
+	}
+	c.fleet.mu.Lock()
+	if j.cancelSent.IsZero() {
+		j.cancelSent = time.Now()
+	}
+	c.fleet.mu.Unlock()
+	a, g := c.exchange(ctx, request{http.MethodDelete, j.host, j.prefix + j.id, j.lastingKey, nil})
+	c.judgeRoute(j.host, j.prefix, j.lastingKey, a, g)
+	if a.served() {
+		c.fleet.mu.Lock()
+		if j.cancelled.IsZero() {
+			j.cancelled = time.Now()
+		}
+		c.fleet.mu.Unlock()
+	}
+}
+
+// ask asks for a job's state and judges the answer, which it returns.
+func (c *client) ask(ctx context.Context, j *job) answer {
+	asked := time.Now()
+	a, g := c.exchange(ctx, request{http.MethodGet, j.host, j.prefix + j.id, j.lastingKey, nil})
+	c.judgeRoute(j.host, j.prefix, j.lastingKey, a, g)
+	if g != nil {
+		c.judgeState(j, a, g, asked)
+	}
+	return a
+}
--- /dev/null
+++ b/tests/soak/connection_test.go
@@ -0,0 +1,95 @@
+package soak
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+)
+
+// connection is a client's connection to one life of a gateway. It is used until its end.
+type connection struct {
+	net.Conn
+	reader  *bufio.Reader
+	gateway *gatewayProcess
+	// life is nil where the gateway was down or came up at that moment.
+	life *life
+	// closing says that an answer announced the end.
+	closing bool
+}
+
+const dialTimeout = time.Second
+
+// dial opens a connection to a gateway.
+func dial(g *gatewayProcess) (*connection, error) {
+	before := g.current()
+	conn, err := net.DialTimeout("tcp", g.front, dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	c := &connection{Conn: conn, reader: bufio.NewReader(conn), gateway: g}
+	if before != nil && before == g.current() {
+		c.life = before
+	}
+	return c, nil
+}
+
+// request is a client's request.
+type request struct {
+	method string
+	host   string
+	path   string
+	key    string
+	body   []byte
+}
+
+// answer is what came of a request.
+type answer struct {
+	status int
+	body   []byte
+	// sent is when the last byte had been sent.
+	sent time.Time
+	// whole says that the request was sent whole, cut that the connection then ended
+	// without a whole answer.
+	whole bool
+	cut   bool
+}
+
+// served reports whether the request succeeded.
+func (a answer) served() bool { return a.status/100 == 2 }
+
+// refused reports whether the answer says that the request was not carried out.
+func (a answer) refused() bool {
+	return a.status/100 == 4 || a.status == http.StatusServiceUnavailable
+}
+
+// exchange sends a request and waits for its answer.
+func (c *connection) exchange(r request, deadline time.Duration) answer {
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Orchidward-Credential: %s\r\nX-Orchidward-Time-Left: %d\r\n",
+		r.method, r.path, r.host, r.key, deadline.Milliseconds())
+	if len(r.body) > 0 {
+		head += fmt.Sprintf("Content-Type: application/json\r\nContent-Length: %d\r\n", len(r.body))
+	}
+	_ = c.SetDeadline(time.Now().Add(deadline))
+	if _, err := io.Copy(c.Conn, strings.NewReader(head+"\r\n"+string(r.body))); err != nil {
+		return answer{sent: time.Now()}
+	}
+	a := answer{sent: time.Now(), whole: true}
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: r.method})
+	if err == nil {
+		a.body, err = io.ReadAll(response.Body)
+		response.Body.Close()
+	}
+	if err != nil {
+		a.cut = !errors.Is(err, os.ErrDeadlineExceeded)
+		return a
+	}
+	a.status = response.StatusCode
+	c.closing = response.Close
+	return a
+}
--- /dev/null
+++ b/tests/soak/faults_test.go
@@ -0,0 +1,285 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// faults stops, kills, freezes and restarts processes, by a seed. Series of faults of
+// different processes overlap; a process is in the hands of one fault at a time.
+type faults struct {
+	cluster *cluster
+	fleet   *fleet
+	checker *checker
+	served  *servedRequests
+	rng     *rand.Rand
+	// tolerance is how many servers may lose their disks at once.
+	tolerance int
+
+	underway sync.WaitGroup
+	busy     sync.Map
+	// serverFaults holds off other faults of servers while disks are lost.
+	serverFaults sync.RWMutex
+}
+
+// Lengths of faults.
+const (
+	maxStepPause  = 1500 * time.Millisecond
+	minDown       = 50 * time.Millisecond
+	maxMoreDown   = 1200 * time.Millisecond
+	maxFreeze     = 2500 * time.Millisecond
+	maxSignalGap  = 300 * time.Millisecond
+	calmLength    = contactBound + configBound + time.Second
+	maxInSeries   = 4
+	servedRecheck = 50 * time.Millisecond
+)
+
+// fault is one kind of fault and how often it comes in a round.
+type fault struct {
+	name   string
+	weight int
+	begin  func(f *faults, ctx context.Context)
+}
+
+var faultKinds = []fault{
+	{"processes stopped in order", 4, (*faults).stopSeries},
+	{"processes killed", 2, (*faults).killSeries},
+	{"processes frozen", 2, (*faults).freezeSeries},
+	{"hang-ups", 1, (*faults).hangUpSeries},
+	{"runners gone", 1, (*faults).runnersGo},
+	{"whole outage", 1, (*faults).outage},
+	{"disks lost", 1, (*faults).losesDisks},
+	{"calm", 1, (*faults).calm},
+}
+
+// run brings about faults until the context ends, and then has every process run.
+func (f *faults) run(ctx context.Context) {
+	var deck []fault
+	for pause(ctx, time.Duration(f.rng.Int64N(int64(maxStepPause)))) {
+		if len(deck) == 0 {
+			deck = f.shuffledFaults()
+		}
+		kind := deck[0]
+		deck = deck[1:]
+		f.checker.note("fault: %s", kind.name)
+		f.checker.count("faults " + kind.name)
+		kind.begin(f, ctx)
+	}
+	f.underway.Wait()
+	for _, p := range f.cluster.all() {
+		p.start()
+	}
+}
+
+// shuffledFaults are the kinds of faults in a drawn order, each as often as it weighs.
+func (f *faults) shuffledFaults() []fault {
+	var deck []fault
+	for _, kind := range faultKinds {
+		for range kind.weight {
+			deck = append(deck, kind)
+		}
+	}
+	f.rng.Shuffle(len(deck), func(i, j int) { deck[i], deck[j] = deck[j], deck[i] })
+	return deck
+}
+
+// each begins a fault of some processes, each a moment after the one before, and does not wait
+// for its end.
+func (f *faults) each(list []*process, do func(p *process, rng *rand.Rand)) {
+	delay := time.Duration(0)
+	for range 1 + f.rng.IntN(maxInSeries) {
+		p := list[f.rng.IntN(len(list))]
+		rng := rand.New(rand.NewPCG(f.rng.Uint64(), f.rng.Uint64()))
+		delay += time.Duration(f.rng.Int64N(int64(maxStepPause)))
+		f.handle(p, delay, func() { do(p, rng) })
+	}
+}
+
+// handle runs a fault of a process after a delay, unless another has it in its hands.
+func (f *faults) handle(p *process, delay time.Duration, do func()) {
+	f.underway.Go(func() {
+		pause(context.Background(), delay)
+		if _, taken := f.busy.LoadOrStore(p, true); taken {
+			return
+		}
+		defer f.busy.Delete(p)
+		if p.server {
+			if !f.serverFaults.TryRLock() {
+				return
+			}
+			defer f.serverFaults.RUnlock()
+		}
+		do()
+	})
+}
+
+// down waits for as long as a process stays down.
+func down(rng *rand.Rand) {
+	pause(context.Background(), minDown+time.Duration(rng.Int64N(int64(maxMoreDown))))
+}
+
+// stopSeries stops processes by SIGTERM, some with further signals on the way, and starts them
+// again.
+func (f *faults) stopSeries(context.Context) {
+	f.each(f.cluster.all(), func(p *process, rng *rand.Rand) {
+		for range rng.IntN(3) {
+			p.signal(syscall.SIGHUP)
+			pause(context.Background(), time.Duration(rng.Int64N(int64(maxSignalGap))))
+		}
+		p.terminate()
+		down(rng)
+		p.start()
+	})
+}
+
+func (f *faults) killSeries(context.Context) {
+	f.each(f.cluster.all(), func(p *process, rng *rand.Rand) {
+		p.kill()
+		down(rng)
+		p.start()
+	})
+}
+
+// freezeSeries freezes processes for a while; some are stopped by SIGTERM meanwhile.
+func (f *faults) freezeSeries(context.Context) {
+	f.each(f.cluster.all(), func(p *process, rng *rand.Rand) {
+		p.signal(syscall.SIGSTOP)
+		stopped := rng.IntN(3) == 0
+		if stopped {
+			p.signal(syscall.SIGTERM)
+		}
+		pause(context.Background(), time.Duration(rng.Int64N(int64(maxFreeze))))
+		p.signal(syscall.SIGCONT)
+		if stopped {
+			p.terminate()
+			down(rng)
+			p.start()
+		}
+	})
+}
+
+func (f *faults) hangUpSeries(context.Context) {
+	f.each(f.cluster.all(), func(p *process, rng *rand.Rand) {
+		for range 1 + rng.IntN(3) {
+			p.signal(syscall.SIGHUP)
+			pause(context.Background(), time.Duration(rng.Int64N(int64(maxSignalGap))))
+		}
+	})
+}
+
+// runnersGo has runners crash, or leave in order.
+func (f *faults) runnersGo(context.Context) {
+	for range 1 + f.rng.IntN(2) {
+		r := f.fleet.runners[f.rng.IntN(len(f.fleet.runners))]
+		if f.rng.IntN(2) == 0 {
+			f.checker.note("%s crashes", r.name)
+			r.crash()
+			continue
+		}
+		f.checker.note("%s leaves", r.name)
+		f.underway.Go(func() { r.leave(context.Background()) })
+	}
+}
+
+// calm waits for what is under way, and leaves all alone for so long that bounds of time are
+// judged.
+func (f *faults) calm(ctx context.Context) {
+	f.underway.Wait()
+	pause(ctx, calmLength)
+}
+
+// outage kills all servers at once, or every process of the machines that count, and starts
+// them again. It comes in the middle of other faults, or some servers lose their disks by it.
+func (f *faults) outage(ctx context.Context) {
+	lost := f.rng.IntN(f.tolerance + 1)
+	gateways := f.rng.IntN(2) == 0
+	if lost == 0 {
+		f.restartAll(gateways, 0)
+		f.underway.Wait()
+		f.awaitService(ctx)
+		return
+	}
+	f.settle(ctx)
+	f.serverFaults.Lock()
+	defer f.serverFaults.Unlock()
+	f.restartAll(gateways, lost)
+	f.awaitService(ctx)
+	pause(context.Background(), settleBound)
+}
+
+// settle waits until no fault is under way and the servers have had the time to settle.
+func (f *faults) settle(ctx context.Context) {
+	f.underway.Wait()
+	for _, p := range f.cluster.all() {
+		p.start()
+	}
+	pause(ctx, settleBound)
+}
+
+// restartAll kills all servers, and perhaps the gateways on their machines, wipes the disks of
+// some and starts all again.
+func (f *faults) restartAll(gateways bool, lost int) {
+	list := append([]*process{}, f.cluster.servers...)
+	if gateways {
+		for _, g := range f.cluster.gateways[:min(len(f.cluster.gateways), len(f.cluster.servers))] {
+			list = append(list, g.process)
+		}
+	}
+	var ends sync.WaitGroup
+	for _, p := range list {
+		ends.Go(p.kill)
+	}
+	ends.Wait()
+	order := f.rng.Perm(len(f.cluster.servers))
+	for _, number := range order[:lost] {
+		f.checker.note("%s loses its disk", f.cluster.servers[number].name)
+		f.cluster.servers[number].wipe()
+	}
+	down(f.rng)
+	for _, p := range list {
+		p.start()
+	}
+}
+
+// awaitService waits until requests are served again after all are back, and judges how long
+// that takes.
+func (f *faults) awaitService(ctx context.Context) {
+	back := time.Now()
+	for !f.served.since(back) {
+		if time.Since(back) > recoveryBound+usualDeadline {
+			if f.checker.troubles.stalled(back) {
+				f.checker.count("unjudged for stalls RECOVER")
+			} else {
+				f.checker.fail("RECOVER", "nothing is served %v after the servers are back", time.Since(back))
+			}
+			return
+		}
+		if !pause(ctx, servedRecheck) {
+			return
+		}
+	}
+	f.checker.count("outages recovered")
+	f.checker.took("recovery", time.Since(back))
+}
+
+// losesDisks kills some servers, within the tolerance, and starts them with empty folders.
+func (f *faults) losesDisks(ctx context.Context) {
+	f.settle(ctx)
+	f.serverFaults.Lock()
+	defer f.serverFaults.Unlock()
+	lost := f.rng.Perm(len(f.cluster.servers))[:1+f.rng.IntN(f.tolerance)]
+	for _, number := range lost {
+		p := f.cluster.servers[number]
+		p.kill()
+		f.checker.note("%s loses its disk", p.name)
+		p.wipe()
+	}
+	down(f.rng)
+	for _, number := range lost {
+		f.cluster.servers[number].start()
+	}
+	pause(context.Background(), settleBound)
+}
--- /dev/null
+++ b/tests/soak/jobs_test.go
@@ -0,0 +1,154 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// job is a job that a client has sent, and what was seen of it.
+type job struct {
+	id     string
+	route  string
+	host   string
+	prefix string
+	// key is the one that hands it in, lastingKey one that its tenant always has.
+	key        string
+	lastingKey string
+	tenant     string
+	plant      string
+	stages     []stage
+
+	// sends and refusals count the tries to hand it in, and those that were turned away;
+	// underway are those without an answer yet.
+	sends    int
+	refusals int
+	underway int
+	// accepted is when it was first acknowledged, zero for never.
+	accepted time.Time
+	// cancelSent and cancelled are when its cancelling was sent and acknowledged.
+	cancelSent time.Time
+	cancelled  time.Time
+	settled    bool
+
+	tasks map[string]*taskHistory
+}
+
+// stage is a step of a job.
+type stage struct {
+	count     int
+	demand    demand
+	work      time.Duration
+	dependsOn []int
+}
+
+// taskHistory is what runners saw of a task.
+type taskHistory struct {
+	starts    int
+	lastStart time.Time
+	// done says that a run has ended well; noted that such an end was taken note of.
+	done  bool
+	noted bool
+}
+
+// Sizes of jobs.
+const (
+	maxStages    = 2
+	maxCount     = 4
+	minTaskCPU   = 500
+	taskCPUSteps = 4
+	taskMemory   = 256
+	minWork      = 150 * time.Millisecond
+	maxMoreWork  = 1200 * time.Millisecond
+)
+
+func newJob(rng *rand.Rand, r route, key string, owner tenant) *job {
+	j := &job{
+		id:         fmt.Sprintf("%016x", rng.Uint64()),
+		route:      r.Name,
+		host:       r.Host,
+		prefix:     r.PathPrefix,
+		key:        key,
+		lastingKey: owner.APIKeys[0],
+		tenant:     owner.Name,
+		tasks:      map[string]*taskHistory{},
+	}
+	j.plant = "plant of " + j.id
+	for number := range 1 + rng.IntN(maxStages) {
+		s := stage{
+			count:  1 + rng.IntN(maxCount),
+			demand: demand{CPU: minTaskCPU * int64(1+rng.IntN(taskCPUSteps)), MemMb: taskMemory},
+			work:   minWork + time.Duration(rng.Int64N(int64(maxMoreWork))),
+		}
+		if number > 0 {
+			s.dependsOn = []int{number - 1}
+		}
+		j.stages = append(j.stages, s)
+	}
+	return j
+}
+
+// body is the job as it is sent.
+func (j *job) body() []byte {
+	type stageBody struct {
+		Count      int   `json:"count"`
+		CPU        int64 `json:"cpu"`
+		MemMb      int64 `json:"memMb"`
+		EstimateMs int64 `json:"estimateMs"`
+		DependsOn  []int `json:"dependsOn,omitempty"`
+	}
+	body := struct {
+		Plant  string      `json:"plant"`
+		Stages []stageBody `json:"stages"`
+	}{Plant: j.plant}
+	for _, s := range j.stages {
+		body.Stages = append(body.Stages, stageBody{s.count, s.demand.CPU, s.demand.MemMb, s.work.Milliseconds(), s.dependsOn})
+	}
+	return encode(body)
+}
+
+func (j *job) taskName(step, index int) string { return fmt.Sprintf("%s.0.%d.%d", j.id, step, index) }
+
+// history is what was seen of a task, made where there is none yet.
+func (j *job) history(task string) *taskHistory {
+	if j.tasks[task] == nil {
+		j.tasks[task] = &taskHistory{}
+	}
+	return j.tasks[task]
+}
+
+// stageDone reports whether every task of a step has ended well.
+func (j *job) stageDone(step int) bool {
+	for index := range j.stages[step].count {
+		if h := j.tasks[j.taskName(step, index)]; h == nil || !h.done {
+			return false
+		}
+	}
+	return true
+}
+
+// done reports whether every task has ended well.
+func (j *job) done() bool {
+	for step := range j.stages {
+		if !j.stageDone(step) {
+			return false
+		}
+	}
+	return true
+}
+
+// neverTaken reports whether every try to hand the job in was turned away.
+func (j *job) neverTaken() bool { return j.underway == 0 && j.sends == j.refusals }
+
+// parseTask reads a task's name: its job's id, its step and its index.
+func parseTask(name string) (id string, step, index int, ok bool) {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 || parts[1] != "0" {
+		return "", 0, 0, false
+	}
+	step, stepErr := strconv.Atoi(parts[2])
+	index, indexErr := strconv.Atoi(parts[3])
+	return parts[0], step, index, stepErr == nil && indexErr == nil
+}
--- /dev/null
+++ b/tests/soak/judgement_test.go
@@ -0,0 +1,71 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// judgeCut judges a request that was sent whole and whose connection ended without a whole
+// answer. Only what the tests did to that very process by force excuses it.
+func (c *client) judgeCut(conn *connection, r request, a answer, ended time.Time) {
+	if conn.life == nil {
+		c.checker.count("cuts by a process that came or went")
+		return
+	}
+	l := conn.life
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state := "running"
+	if !l.terminated.IsZero() {
+		state = fmt.Sprintf("SIGTERM %v before the request", a.sent.Sub(l.terminated).Round(time.Millisecond))
+	}
+	late := ended.Sub(a.sent)
+	switch {
+	case !l.killed.IsZero() || l.frozen:
+		c.checker.count("cuts by a kill or freeze")
+	case late <= lossSlack:
+		c.checker.count("cuts within the slack")
+		c.checker.note("%s: cut within the slack after %v, %s, connection closing %v", conn.gateway.name, late, state, conn.closing)
+	default:
+		c.checker.fail("LOST", "%s ended the connection %v after a whole %s %s without an answer (%s)",
+			conn.gateway.name, late.Round(time.Millisecond), r.method, r.path, state)
+	}
+}
+
+// judgeRoute judges an answer by the configurations that may be in force.
+func (c *client) judgeRoute(host, prefix, key string, a answer, g *gatewayProcess) {
+	if g == nil || a.status == 0 {
+		return
+	}
+	versions := c.ledger.inForce(a.sent)
+	routes, keys := 0, 0
+	for _, v := range versions {
+		for _, r := range v.Routes {
+			if r.Host == host && r.PathPrefix == prefix {
+				routes++
+			}
+		}
+		if v.tenantOf(key) != nil {
+			keys++
+		}
+	}
+	served := a.served()
+	switch {
+	case served && routes == 0:
+		c.checker.failInTime("CONFIG", g.process, a.sent, "%s served a request on the dropped route %s", g.name, prefix)
+	case a.status == http.StatusNotFound && routes == len(versions):
+		c.checker.failInTime("CONFIG", g.process, a.sent, "%s answered 404 on the route %s", g.name, prefix)
+	}
+	if !c.checker.checkTenants {
+		return
+	}
+	switch {
+	case served && !c.ledger.everHeld(key):
+		c.checker.fail("ROUTE", "%s served a request with a key that no configuration held", g.name)
+	case served && keys == 0:
+		c.checker.failInTime("CONFIG", g.process, a.sent, "%s served a request with a dropped key", g.name)
+	case a.status == http.StatusUnauthorized && keys == len(versions):
+		c.checker.failInTime("CONFIG", g.process, a.sent, "%s answered 401 to a key in force", g.name)
+	}
+}
--- /dev/null
+++ b/tests/soak/process_test.go
@@ -0,0 +1,156 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// process is a program that is started again and again under the same settings.
+type process struct {
+	name    string
+	program string
+	args    []string
+	// settings is the path of the settings file, dataDir the data folder; it is empty for none.
+	settings string
+	dataDir  string
+	logPath  string
+	// server says that this is a control-plane server.
+	server  bool
+	checker *checker
+
+	mu   sync.Mutex
+	life *life
+}
+
+// life is one life of a process: from its start until its end.
+type life struct {
+	process *process
+	cmd     *exec.Cmd
+	started time.Time
+	// ended is closed at the end.
+	ended chan struct{}
+
+	mu sync.Mutex
+	// terminated and killed are when SIGTERM and SIGKILL were sent, zero for never.
+	terminated time.Time
+	killed     time.Time
+	// frozen says that the process was ever stopped by SIGSTOP.
+	frozen bool
+}
+
+// start starts the process unless it runs.
+func (p *process) start() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.life != nil {
+		return
+	}
+	log, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		p.checker.fail("harness", "%s: %v", p.name, err)
+		return
+	}
+	defer log.Close()
+	cmd := exec.Command(p.program, p.args...)
+	cmd.Env = append(os.Environ(), "ORCHIDWARD_CONFIG="+p.settings, "GOMAXPROCS=1")
+	cmd.Stdout = log
+	cmd.Stderr = log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	p.checker.troubles.begin(p, troubleStart)
+	l := &life{process: p, cmd: cmd, started: time.Now(), ended: make(chan struct{})}
+	if err = cmd.Start(); err != nil {
+		p.checker.fail("harness", "%s: %v", p.name, err)
+		return
+	}
+	p.life = l
+	go l.awaitEnd()
+}
+
+// awaitEnd notes the end of the process, and whether it was asked for.
+func (l *life) awaitEnd() {
+	err := l.cmd.Wait()
+	l.mu.Lock()
+	asked := !l.terminated.IsZero() || !l.killed.IsZero()
+	killed := !l.killed.IsZero()
+	l.mu.Unlock()
+	p := l.process
+	p.mu.Lock()
+	p.life = nil
+	p.mu.Unlock()
+	p.checker.troubles.begin(p, troubleEnd)
+	switch {
+	case !asked:
+		p.checker.fail("Fault", "%s ended by itself: %v", p.name, err)
+	case err != nil && !killed:
+		p.checker.fail("Fault", "%s ended on SIGTERM with %v", p.name, err)
+	}
+	close(l.ended)
+}
+
+// current is the life of the process, nil while it is down.
+func (p *process) current() *life {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.life
+}
+
+// signal sends a signal to the process, if it runs, and notes it beforehand.
+func (p *process) signal(sig syscall.Signal) {
+	l := p.current()
+	if l == nil {
+		return
+	}
+	p.checker.troubles.begin(p, troubleOf(sig))
+	l.mu.Lock()
+	switch {
+	case sig == syscall.SIGTERM && l.terminated.IsZero():
+		l.terminated = time.Now()
+	case sig == syscall.SIGKILL && l.killed.IsZero():
+		l.killed = time.Now()
+	case sig == syscall.SIGSTOP:
+		l.frozen = true
+	}
+	l.mu.Unlock()
+	_ = l.cmd.Process.Signal(sig)
+}
+
+// kill ends the process at once and waits for its end.
+func (p *process) kill() {
+	if l := p.current(); l != nil {
+		p.signal(syscall.SIGKILL)
+		<-l.ended
+	}
+}
+
+// terminate asks the process to end, and kills it when its grace is over.
+func (p *process) terminate() {
+	l := p.current()
+	if l == nil {
+		return
+	}
+	p.signal(syscall.SIGTERM)
+	grace := time.NewTimer(graceBound)
+	defer grace.Stop()
+	select {
+	case <-l.ended:
+		return
+	case <-grace.C:
+	}
+	p.checker.count("outlived its grace")
+	p.checker.note("%s outlived its grace", p.name)
+	p.signal(syscall.SIGKILL)
+	<-l.ended
+}
+
+// wipe removes the data of a process that is down.
+func (p *process) wipe() {
+	if err := os.RemoveAll(p.dataDir); err != nil {
+		p.checker.fail("harness", "%v", err)
+	}
+	if err := os.MkdirAll(p.dataDir, 0o755); err != nil {
+		p.checker.fail("harness", "%v", err)
+	}
+}
--- /dev/null
+++ b/tests/soak/runner_test.go
@@ -0,0 +1,246 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+)
+
+// runner is a stand-in runner beside an agent. The fleet's lock guards all but what is set
+// once.
+type runner struct {
+	name  string
+	agent *agentProcess
+	fleet *fleet
+	http  *http.Client
+	rng   *rand.Rand
+
+	up          bool
+	id          string
+	lives       int
+	callSeq     uint64
+	fence       uint64
+	heldUntil   time.Time
+	runs        map[string]*run
+	ends        []runEnd
+	lastEnd     uint64
+	highestRuns map[string]uint64
+	// draining says that the runner leaves; drainAcked is when that was acknowledged.
+	draining   bool
+	drainAcked time.Time
+	departs    time.Time
+}
+
+// run is what a runner runs.
+type run struct {
+	job    *job
+	number uint64
+	demand demand
+	begun  time.Time
+	endsAt time.Time
+	how    string
+}
+
+// runEnd is the end of a run that the agent has not taken note of.
+type runEnd struct {
+	number uint64
+	task   string
+	run    uint64
+	how    string
+	job    *job
+	at     time.Time
+	// lapsed says that the runner's hold was over at some moment since.
+	lapsed bool
+}
+
+var runnerHeadroom = demand{CPU: 32000, MemMb: 65536}
+
+// Times of runners.
+const (
+	usualBeat    = 100 * time.Millisecond
+	beatAfterEnd = 50 * time.Millisecond
+	drainNotice  = 2500 * time.Millisecond
+	maxEnds      = 500
+)
+
+func newRunner(f *fleet, a *agentProcess, rng *rand.Rand) *runner {
+	r := &runner{
+		name:  "runner of " + a.name,
+		agent: a,
+		fleet: f,
+		rng:   rng,
+		http:  &http.Client{Timeout: callTimeout, Transport: &http.Transport{}},
+	}
+	r.begin()
+	f.runners = append(f.runners, r)
+	return r
+}
+
+// begin starts a life that runs nothing. It must be called with the lock held.
+func (r *runner) begin() {
+	r.lives++
+	r.id = fmt.Sprintf("i-%s-%d", r.agent.name, r.lives)
+	r.up = true
+	r.callSeq, r.fence, r.lastEnd = 0, 0, 0
+	r.heldUntil = time.Time{}
+	r.runs = map[string]*run{}
+	r.highestRuns = map[string]uint64{}
+	r.ends = nil
+	r.draining = false
+	r.drainAcked, r.departs = time.Time{}, time.Time{}
+}
+
+// crash ends all that runs, and starts anew under another id.
+func (r *runner) crash() {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	r.begin()
+}
+
+// used is what is running. It must be called with the lock held.
+func (r *runner) used() demand {
+	sum := demand{}
+	for _, run := range r.runs {
+		sum = sum.plus(run.demand)
+	}
+	return sum
+}
+
+// advance ends what is over by now. It must be called with the lock held.
+func (r *runner) advance(now time.Time) {
+	held := now.Before(r.heldUntil)
+	for task, run := range r.runs {
+		switch {
+		case !run.endsAt.After(now) && !run.endsAt.After(r.heldUntil):
+			r.end(task, run, run.how, run.endsAt)
+		case !held:
+			r.end(task, run, "lapsed", r.heldUntil)
+		}
+	}
+	if held {
+		return
+	}
+	for i := range r.ends {
+		r.ends[i].lapsed = true
+	}
+}
+
+func (r *runner) end(task string, run *run, how string, at time.Time) {
+	delete(r.runs, task)
+	r.noteEnd(task, run.number, how, run.job, at)
+	if how == "done" {
+		run.job.history(task).done = true
+	}
+}
+
+func (r *runner) noteEnd(task string, number uint64, how string, j *job, at time.Time) {
+	r.lastEnd++
+	r.highestRuns[task] = max(r.highestRuns[task], number)
+	r.ends = append(r.ends, runEnd{number: r.lastEnd, task: task, run: number, how: how, job: j, at: at})
+}
+
+// observe forgets the ends that were taken note of.
+func (r *runner) observe(through uint64) {
+	for len(r.ends) > 0 && r.ends[0].number <= through {
+		end := r.ends[0]
+		r.ends = r.ends[1:]
+		if end.how != "done" || end.lapsed {
+			continue
+		}
+		h := end.job.history(end.task)
+		h.noted = true
+		if h.lastStart.After(end.at) {
+			r.fleet.checker.fail("TWICE", "%s was started after a run of it had ended well on %s", end.task, r.name)
+		}
+	}
+}
+
+func (r *runner) stop(item []json.RawMessage, now time.Time) {
+	var task string
+	var number uint64
+	if !decode(item, &task, &number) {
+		r.fleet.checker.fail("Fault", "%s: a stop that can't be read", r.name)
+		return
+	}
+	r.highestRuns[task] = max(r.highestRuns[task], number)
+	run := r.runs[task]
+	if run == nil || run.number > number || run.how == "stopped" {
+		return
+	}
+	run.how = "stopped"
+	run.endsAt = now.Add(time.Duration(r.rng.Int64N(int64(stopMax))))
+}
+
+func (r *runner) start(item []json.RawMessage, now time.Time) {
+	var task, plant string
+	var number uint64
+	if !decode(item, &task, &number, &plant) {
+		r.fleet.checker.fail("Fault", "%s: a start that can't be read", r.name)
+		return
+	}
+	if run := r.runs[task]; run != nil && run.number >= number {
+		return
+	}
+	if r.highestRuns[task] >= number {
+		if !r.lists(task, number) {
+			r.noteEnd(task, number, "refused", r.fleet.jobs[jobID(task)], now)
+		}
+		return
+	}
+	j, s := r.fleet.checkStart(r, task, number, plant, now)
+	if j == nil {
+		return
+	}
+	if r.draining && !r.drainAcked.IsZero() && now.Sub(r.drainAcked) > drainNotice {
+		r.fleet.checker.failInTime("DRAIN", r.agent.process, now, "%s starts %s %v after it said that it leaves", r.name, task, now.Sub(r.drainAcked))
+	}
+	h := j.history(task)
+	h.starts++
+	h.lastStart = now
+	run := &run{job: j, number: number, demand: s.demand, begun: now, endsAt: now.Add(s.work), how: "done"}
+	if h.starts == 1 && r.rng.IntN(20) == 0 {
+		run.how = "failed"
+	}
+	r.runs[task] = run
+	r.fleet.checker.count("starts")
+}
+
+// lists reports whether the runner lists the end of a run.
+func (r *runner) lists(task string, number uint64) bool {
+	for _, end := range r.ends {
+		if end.task == task && end.run == number {
+			return true
+		}
+	}
+	return false
+}
+
+func jobID(task string) string {
+	id, _, _, _ := parseTask(task)
+	return id
+}
+
+// leave has the runner say that it leaves, end in order, and come back as another.
+func (r *runner) leave(ctx context.Context) {
+	r.fleet.mu.Lock()
+	id := r.id
+	r.draining = true
+	r.departs = time.Now().Add(drainNotice + time.Second)
+	r.fleet.mu.Unlock()
+	pause(ctx, drainNotice+time.Second)
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+r.agent.control+"/orchidward/instances/"+id, nil)
+	if err != nil {
+		panic(err)
+	}
+	if response, err := r.http.Do(request); err == nil {
+		response.Body.Close()
+	}
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	if r.id == id {
+		r.begin()
+	}
+}
--- /dev/null
+++ b/tests/soak/soak_test.go
@@ -0,0 +1,252 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Flags of a run by hand: go test ./tests/soak -run TestSoak -v -timeout 0 -seeds 50.
+var (
+	seedCountFlag = flag.Int("seeds", 1, "how many seeds to run, one after another")
+	firstSeed     = flag.Uint64("seed", 1, "the first seed")
+	faultTime     = flag.Duration("faults", 25*time.Second, "for how long a seed brings about faults")
+	serverCount   = flag.Int("servers", 3, "servers of a cluster, 3 or 5; 0 draws it by the seed")
+	gatewayCount  = flag.Int("gateways", 4, "gateways of a cluster")
+	agentCount    = flag.Int("agents", 4, "agents of a cluster, each with a runner")
+	clientCount   = flag.Int("clients", 6, "clients of a cluster")
+	operatorCount = flag.Int("operators", 2, "operators that change the configuration")
+	tenantChecks  = flag.Bool("tenants", false, "judge keys and bounds of tenants")
+	keptDir       = flag.String("keep", "", "a folder in which logs of all seeds are kept")
+)
+
+// binary is the program under test.
+var binary string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "orchidward-soak")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(dir)
+	binary = filepath.Join(dir, "orchidward")
+	build := exec.Command("go", "build", "-o", binary, "orchidward/platform/orchidward")
+	build.Stderr = os.Stderr
+	if err = build.Run(); err != nil {
+		panic(err)
+	}
+	return m.Run()
+}
+
+// TestSoak runs seeds one after another, each with a cluster of its own.
+func TestSoak(t *testing.T) {
+	for i := range *seedCountFlag {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			dir := t.TempDir()
+			if *keptDir != "" {
+				dir = filepath.Join(*keptDir, fmt.Sprintf("seed-%d", seed))
+				if err := os.MkdirAll(dir, 0o755); err != nil {
+					t.Fatal(err)
+				}
+			}
+			newSoak(t, dir, seed).run(t)
+		})
+	}
+}
+
+// soak is the run of one seed.
+type soak struct {
+	seed      uint64
+	checker   *checker
+	cluster   *cluster
+	ledger    *ledger
+	fleet     *fleet
+	entry     *entry
+	served    *servedRequests
+	traffic   atomic.Bool
+	actors    uint64
+	servers   int
+	operators []*operator
+	clients   []*client
+}
+
+// largeGroup is the other size of a group of servers.
+const largeGroup = 5
+
+func newSoak(t *testing.T, dir string, seed uint64) *soak {
+	t.Helper()
+	checker, err := newChecker(dir, *tenantChecks)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { checker.timeline.Close() })
+	s := &soak{seed: seed, checker: checker, served: &servedRequests{}, servers: *serverCount}
+	if s.servers == 0 {
+		s.servers = []int{seedCount, largeGroup}[seed%2]
+	}
+	size := clusterSize{s.servers, *gatewayCount, *agentCount}
+	s.cluster = newCluster(t, dir, binary, size, checker)
+	t.Cleanup(s.cluster.end)
+	s.ledger = &ledger{checker: checker, strange: map[int64]bool{}}
+	s.fleet = newFleet(checker, s.ledger)
+	s.entry = newEntry(s.cluster)
+	for _, a := range s.cluster.agents {
+		newRunner(s.fleet, a, s.random())
+	}
+	for i := range *operatorCount {
+		s.operators = append(s.operators, newOperator(fmt.Sprintf("operator%d", i), s.cluster, s.ledger, s.random()))
+	}
+	for i := range *clientCount {
+		s.clients = append(s.clients, s.newClient(i))
+	}
+	return s
+}
+
+// random are the random numbers of one more actor.
+func (s *soak) random() *rand.Rand {
+	s.actors++
+	return rand.New(rand.NewPCG(s.seed, s.actors))
+}
+
+func (s *soak) newClient(number int) *client {
+	return &client{
+		name:       fmt.Sprintf("client-%d", number),
+		fleet:      s.fleet,
+		ledger:     s.ledger,
+		checker:    s.checker,
+		entry:      s.entry,
+		served:     s.served,
+		rng:        s.random(),
+		stubborn:   number%2 == 1,
+		submitting: s.traffic.Load,
+	}
+}
+
+// foundingBound is how long the start of the whole system may take on a busy machine. It is
+// no rule's bound: nothing is judged by it but that there is a cluster to test.
+const foundingBound = 30 * time.Second
+
+// run runs the seed to its end.
+func (s *soak) run(t *testing.T) {
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	var actors sync.WaitGroup
+	actors.Go(func() { s.checker.troubles.watchStalls(ctx) })
+	s.cluster.start()
+	for _, r := range s.fleet.runners {
+		actors.Go(func() { r.beatOn(ctx) })
+	}
+	for _, g := range s.cluster.gateways {
+		actors.Go(func() { s.entry.askOn(ctx, g) })
+	}
+	if !s.found(ctx) {
+		t.Fatalf("the cluster did not start within %v; logs in %s", foundingBound, s.cluster.dir)
+	}
+	s.play(ctx)
+	s.finish(ctx)
+	end()
+	actors.Wait()
+	s.cluster.end()
+	s.report(t)
+}
+
+// found brings the first configuration into force, and waits until a gateway serves.
+func (s *soak) found(ctx context.Context) bool {
+	bounded, end := context.WithTimeout(ctx, foundingBound)
+	defer end()
+	s.operators[0].found(bounded, firstConfiguration())
+	for !s.entry.anyReady() {
+		if !pause(bounded, servedRecheck) {
+			return false
+		}
+	}
+	s.cluster.founded()
+	return s.ledger.base() != nil
+}
+
+// play has operators, clients and faults at work for as long as faults are brought about, and
+// a little longer.
+func (s *soak) play(ctx context.Context) {
+	traffic, end := context.WithCancel(ctx)
+	s.traffic.Store(true)
+	var actors sync.WaitGroup
+	for _, o := range s.operators {
+		actors.Go(func() { o.changeOn(traffic) })
+	}
+	reader := newOperator("reader", s.cluster, s.ledger, s.random())
+	actors.Go(func() { reader.readOn(traffic) })
+	for _, c := range s.clients {
+		actors.Go(func() { c.sendOn(traffic) })
+	}
+	f := &faults{
+		cluster:   s.cluster,
+		fleet:     s.fleet,
+		checker:   s.checker,
+		served:    s.served,
+		rng:       s.random(),
+		tolerance: s.servers / 2,
+	}
+	faulty, endFaults := context.WithTimeout(ctx, *faultTime)
+	f.run(faulty)
+	endFaults()
+	pause(ctx, time.Second)
+	s.traffic.Store(false)
+	end()
+	actors.Wait()
+	s.checker.note("end of the traffic")
+}
+
+// finish judges what is left once the traffic has ended.
+func (s *soak) finish(ctx context.Context) {
+	s.operators[0].readBack(ctx)
+	pause(ctx, finishBound)
+	bounded, end := context.WithTimeout(ctx, 2*finishBound)
+	defer end()
+	jobs := s.fleet.owed()
+	s.checker.note("%d jobs asked for", len(jobs))
+	last := s.newClient(len(s.clients))
+	last.finish(bounded, jobs)
+	s.operators[0].readBack(ctx)
+}
+
+// report prints what was seen, and fails the test for each broken rule.
+func (s *soak) report(t *testing.T) {
+	t.Helper()
+	t.Logf("seed %d, %d servers, %d gateways, %d agents, %v: %s", s.seed, s.servers, len(s.cluster.gateways),
+		len(s.cluster.agents), time.Since(s.checker.began).Round(time.Second), s.checker.summary())
+	broken := s.checker.broken()
+	for _, text := range broken {
+		t.Errorf("seed %d: %s", s.seed, text)
+	}
+	if len(broken) > 0 {
+		s.printTimeline(t)
+	}
+}
+
+// maxTimeline is how much of the timeline is printed, in bytes.
+const maxTimeline = 6000
+
+// printTimeline prints the end of the timeline of a seed that broke a rule.
+func (s *soak) printTimeline(t *testing.T) {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join(s.cluster.dir, "timeline.log"))
+	if err != nil {
+		t.Log(err)
+		return
+	}
+	t.Logf("...%s", text[max(0, len(text)-maxTimeline):])
+}
