--- a/tests/soak/faults_test.go
+++ b/tests/soak/faults_test.go
@@ -27,14 +27,16 @@
 
 // Lengths of faults.
 const (
-	maxStepPause  = 1500 * time.Millisecond
-	minDown       = 50 * time.Millisecond
-	maxMoreDown   = 1200 * time.Millisecond
-	maxFreeze     = 2500 * time.Millisecond
-	maxSignalGap  = 300 * time.Millisecond
-	calmLength    = contactBound + configBound + time.Second
-	maxInSeries   = 4
-	servedRecheck = 50 * time.Millisecond
+	maxStepPause = 1500 * time.Millisecond
+	minDown      = 50 * time.Millisecond
+	maxMoreDown  = 1200 * time.Millisecond
+	// minFreezeDelay is a little less than gateways go on taking requests after SIGTERM.
+	minFreezeDelay = 1500 * time.Millisecond
+	maxFreeze      = 2500 * time.Millisecond
+	maxSignalGap   = 300 * time.Millisecond
+	calmLength     = contactBound + configBound + time.Second
+	maxInSeries    = 4
+	servedRecheck  = 50 * time.Millisecond
 )
 
 // fault is one kind of fault and how often it comes in a round.
@@ -48,6 +50,7 @@
 	{"processes stopped in order", 4, (*faults).stopSeries},
 	{"processes killed", 2, (*faults).killSeries},
 	{"processes frozen", 2, (*faults).freezeSeries},
+	{"gateways stopped while servers are frozen", 1, (*faults).stopAmidFrozenServers},
 	{"hang-ups", 1, (*faults).hangUpSeries},
 	{"runners gone", 1, (*faults).runnersGo},
 	{"whole outage", 1, (*faults).outage},
@@ -161,6 +164,29 @@
 	})
 }
 
+// stopAmidFrozenServers stops gateways by SIGTERM and freezes all servers shortly before the
+// gateways close their addresses, so that requests are in flight for long then.
+func (f *faults) stopAmidFrozenServers(context.Context) {
+	order := f.rng.Perm(len(f.cluster.gateways))
+	for _, number := range order[:(len(order)+1)/2] {
+		p := f.cluster.gateways[number].process
+		f.handle(p, 0, func() {
+			p.terminate()
+			pause(context.Background(), minDown)
+			p.start()
+		})
+	}
+	delay := minFreezeDelay + time.Duration(f.rng.Int64N(int64(maxSignalGap)))
+	length := maxFreeze/2 + time.Duration(f.rng.Int64N(int64(maxFreeze/2)))
+	for _, p := range f.cluster.servers {
+		f.handle(p, delay, func() {
+			p.signal(syscall.SIGSTOP)
+			pause(context.Background(), length)
+			p.signal(syscall.SIGCONT)
+		})
+	}
+}
+
 func (f *faults) hangUpSeries(context.Context) {
 	f.each(f.cluster.all(), func(p *process, rng *rand.Rand) {
 		for range 1 + rng.IntN(3) {
--- a/tests/soak/jobs_test.go
+++ b/tests/soak/jobs_test.go
@@ -62,6 +62,9 @@
 	taskMemory   = 256
 	minWork      = 150 * time.Millisecond
 	maxMoreWork  = 1200 * time.Millisecond
+	// One stage in longEvery has longWork more, so that its tasks outlast a fault.
+	longEvery = 4
+	longWork  = 3 * time.Second
 )
 
 func newJob(rng *rand.Rand, r route, key string, owner tenant) *job {
@@ -82,6 +85,9 @@
 			demand: demand{CPU: minTaskCPU * int64(1+rng.IntN(taskCPUSteps)), MemMb: taskMemory},
 			work:   minWork + time.Duration(rng.Int64N(int64(maxMoreWork))),
 		}
+		if rng.IntN(longEvery) == 0 {
+			s.work += longWork
+		}
 		if number > 0 {
 			s.dependsOn = []int{number - 1}
 		}
