Tenants in sight: use and quotas, refusals by cause, what changed

Change: metrics of the 16 tenants that use the most and of all others together; the leader logs a tenant that comes to its quota, and once it has kept within it for 5 s; refusals are counted by cause at gateways and at the leader; routing-table says version, routes and tenants, catalog-changed how many queues and tenants were put, updated and dropped. Never a key or digest.

--- a/internal/controlplane/authentication.go
+++ b/internal/controlplane/authentication.go
@@ -55,6 +55,8 @@
 	key := r.endpoint.JobKey()
 	switch {
 	case !ok:
+		s.leader.requests.unauthenticated++
+		s.UnauthenticatedRequests++
 		s.replyError(r.peer, r.ID, errNoKey)
 	case r.endpoint.Kind == endpoint.GetQueue:
 		s.replyQueue(r, r.endpoint.Name)
--- a/internal/controlplane/cluster_fixture_test.go
+++ b/internal/controlplane/cluster_fixture_test.go
@@ -69,6 +69,8 @@
 	succeeded map[string]bool
 	// lapsedRuns counts the attempts that ended because their lease ran out.
 	lapsedRuns int
+	// events counts the events that the server has logged, by name.
+	events map[string]int
 }
 
 // inFlightMessage is a message that arrives at a later time.
@@ -89,6 +91,7 @@
 		random:    rand.New(rand.NewSource(seed)),
 		responses: map[uint64]*wire.Response{},
 		succeeded: map[string]bool{},
+		events:    map[string]int{},
 	}
 	for i := 0; i < runners; i++ {
 		runner := &fakeRunner{name: fmt.Sprintf("m%d", i), capacity: job.Demand{MilliCores: 4000, Mem: 4000}}
@@ -247,6 +250,9 @@
 		output := c.server.TakeOutput()
 		more = len(output.Writes) > 0
 		c.send(serverAddr, output.Messages)
+		for _, event := range output.Events {
+			c.events[event.Name]++
+		}
 		for _, write := range output.Writes {
 			c.server.Synced(write.Seq, c.now, wallTime(c.now))
 		}
--- a/internal/controlplane/command_events.go
+++ b/internal/controlplane/command_events.go
@@ -1,6 +1,9 @@
 package controlplane
 
-import "orchidward/internal/state"
+import (
+	"orchidward/internal/api/catalog"
+	"orchidward/internal/state"
+)
 
 // logCommand logs what an applied command did, one line each. Only the leader does so.
 func (s *Server) logCommand(command *state.Command, result state.Result) {
@@ -15,11 +18,7 @@
 	case command.ChangeLimits != nil:
 		s.logEvent("limits-changed", "status", result.Status, "epoch", s.state.Limits.Epoch)
 	case command.ChangeCatalog != nil:
-		s.logEvent("catalog-changed",
-			"status", result.Status,
-			"base", command.ChangeCatalog.Base,
-			"version", command.ChangeCatalog.Version,
-			"why", result.Message)
+		s.logCatalogChange(command.ChangeCatalog, result)
 	case command.StartDrain != nil:
 		s.logEvent("drain-started", "domain", command.StartDrain.Domain, "status", result.Status)
 	case command.EndDrain != nil:
@@ -34,6 +33,21 @@
 	}
 }
 
+// logCatalogChange logs a change of the catalogue, by numbers: API keys are secrets.
+func (s *Server) logCatalogChange(change *catalog.Change, result state.Result) {
+	s.logEvent("catalog-changed",
+		"status", result.Status,
+		"base", change.Base,
+		"version", change.Version,
+		"whole", change.Whole,
+		"queuesPut", len(change.Queues),
+		"queuesDropped", len(change.DropQueues),
+		"tenantsPut", len(change.Tenants),
+		"tenantsUpdated", len(change.TenantUpdates),
+		"tenantsDropped", len(change.DropTenants),
+		"why", result.Message)
+}
+
 func (s *Server) logDrainStage(step *state.AdvanceDrain) {
 	drain := s.state.Drains[step.ID]
 	if drain == nil {
--- a/internal/controlplane/leader.go
+++ b/internal/controlplane/leader.go
@@ -54,6 +54,8 @@
 	transfers map[identifier.Node]observedTransfer
 	// requests counts what this leader was asked since the log last said so.
 	requests requestCounts
+	// quotas are the tenants at their quota, as the log reported them.
+	quotas quotaLog
 	// seedsAnnouncedAt is when the seeds that are no members were last told of the group.
 	seedsAnnouncedAt clock.Monotonic
 }
@@ -76,6 +78,7 @@
 		maxVotersLiveAt: s.now,
 		transfers:       map[identifier.Node]observedTransfer{},
 		requests:        requestCounts{since: s.now},
+		quotas:          newQuotaLog(),
 	}
 	for _, name := range s.state.RunnerNames() {
 		s.leader.runners[name] = &runnerContact{incarnation: s.state.Runners[name].Incarnation, lastHeard: s.now}
@@ -117,6 +120,7 @@
 	s.announceToSeeds()
 	s.logTransfers(statuses)
 	s.logRequestCounts()
+	s.logQuotas()
 	s.logJobTimes()
 	s.raiseLevel()
 	s.proposeChecksum()
--- a/internal/controlplane/request_counts.go
+++ b/internal/controlplane/request_counts.go
@@ -7,13 +7,15 @@
 
 // requestCounts is what a leader was asked since a time: all requests, those of other
 // processes among them, and how many of all were returned because the sender's routing
-// table was stale or the order too old.
+// table was stale or the order too old, or refused because their key is nobody's.
 type requestCounts struct {
 	since   clock.Monotonic
 	all     int
 	remote  int
 	stale   int
 	expired int
+
+	unauthenticated int
 }
 
 // logRequestCounts logs, every requestCountInterval, what this leader was asked. No line
@@ -25,7 +27,7 @@
 	}
 	if counts.all > 0 {
 		s.logEvent("leader-requests", "requests", counts.all, "remote", counts.remote,
-			"stale", counts.stale, "expired", counts.expired)
+			"stale", counts.stale, "expired", counts.expired, "unauthenticated", counts.unauthenticated)
 	}
 	*counts = requestCounts{since: s.now}
 }
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -19,6 +19,9 @@
 	// LogPercentUsed tells how much of the write-ahead log is in use, so that a snapshot
 	// is taken before it is full. The owner of the disk replaces it.
 	LogPercentUsed func() int
+	// UnauthenticatedRequests counts the requests that were refused here because their API
+	// key is nobody's. Callers may only read it.
+	UnauthenticatedRequests uint64
 
 	config Config
 	now    clock.Monotonic
--- /dev/null
+++ b/internal/controlplane/tenant_usage.go
@@ -0,0 +1,40 @@
+package controlplane
+
+import (
+	"cmp"
+	"slices"
+
+	"orchidward/internal/api/catalog"
+	"orchidward/internal/api/job"
+)
+
+// TenantUsage is what a tenant has in use and may have. Tenant is empty for all tenants but
+// the largest users together, whose quotas are not added up.
+type TenantUsage struct {
+	Tenant string
+	Used   job.Demand
+	Quota  catalog.Quota
+}
+
+// LargestTenants lists the tenants that use the most processors, most first and so many at
+// most, and then all others as one if there are any.
+func (s *Server) LargestTenants(most int) []TenantUsage {
+	if s.state.Catalog == nil {
+		return nil
+	}
+	var list []TenantUsage
+	for _, tenant := range s.state.Catalog.Tenants {
+		list = append(list, TenantUsage{tenant.Name, s.state.TenantUse(tenant.Name), tenant.Quota})
+	}
+	slices.SortFunc(list, func(a, b TenantUsage) int {
+		return cmp.Or(cmp.Compare(b.Used.CPU(), a.Used.CPU()), cmp.Compare(a.Tenant, b.Tenant))
+	})
+	if len(list) <= most {
+		return list
+	}
+	others := TenantUsage{}
+	for _, tenant := range list[most:] {
+		others.Used = others.Used.Plus(tenant.Used)
+	}
+	return append(list[:most:most], others)
+}
--- a/internal/daemon/serverd/daemon.go
+++ b/internal/daemon/serverd/daemon.go
@@ -55,6 +55,9 @@
 	// requests are those that were made here. Only the event loop touches them.
 	requests *inflight.Requests
 
+	// tenantsShownAt is when the metrics by tenant were last renewed.
+	tenantsShownAt clock.Monotonic
+
 	// left is closed once the server has left its group in order.
 	left     chan struct{}
 	leftOnce sync.Once
--- a/internal/daemon/serverd/metrics.go
+++ b/internal/daemon/serverd/metrics.go
@@ -28,6 +28,8 @@
 		waiting += store.WaitingTasks(row)
 	}
 	d.gauges.Set("tasks_waiting", float64(waiting))
+	d.gauges.Set("requests_unknown_key", float64(d.server.UnauthenticatedRequests))
+	d.updateTenantMetrics()
 	totals := d.server.JobTotals()
 	d.gauges.Set("jobs_ended", float64(totals.Ended))
 	d.gauges.Set("jobs_late", float64(totals.Late))
--- a/internal/gateway/authentication.go
+++ b/internal/gateway/authentication.go
@@ -35,13 +35,24 @@
 	case r.mayBeTaken():
 		g.replyUnknown(r.ID)
 	case g.routing.behindSince > 0:
+		g.Counts.KeysBehind++
 		g.replyError(r.ID, http.StatusServiceUnavailable, codeKeysBehind, messageKeysBehind, retryAfterFailure)
 	default:
+		g.countUnauthenticated(r)
 		g.replyError(r.ID, http.StatusUnauthorized, codeUnauthenticated, messageUnauthenticated, 0)
 	}
 	return false
 }
 
+// countUnauthenticated counts a request that is refused for its key, or for the lack of one.
+func (g *Gateway) countUnauthenticated(r *request) {
+	if r.Credential == "" {
+		g.Counts.WithoutKey++
+		return
+	}
+	g.Counts.UnknownKey++
+}
+
 // withCredential is what can be read of a query, with the digest of the request's key in place of any other.
 func withCredential(query string, digest catalog.KeyDigest) string {
 	values, _ := url.ParseQuery(query)
--- a/internal/gateway/authentication_test.go
+++ b/internal/gateway/authentication_test.go
@@ -104,3 +104,18 @@
 		t.Errorf("%+v", output)
 	}
 }
+
+// TestRefusalsCountedByCause guards against refused keys that no metric shows, or shows under another cause.
+func TestRefusalsCountedByCause(t *testing.T) {
+	leader := newTenantLeader(t)
+	leader.ask(1, "q00000", "")
+	leader.ask(2, "q00000", foreignKey)
+	leader.ask(3, "q00000", foreignKey)
+	leader.gateway.routing.recordLeaderEpoch(leader.gateway.Epoch()+1, leader.now)
+	leader.ask(4, "q00000", foreignKey)
+	leader.ask(5, "q00000", heldKey)
+	counts := leader.gateway.Counts
+	if counts.WithoutKey != 1 || counts.UnknownKey != 2 || counts.KeysBehind != 1 {
+		t.Errorf("without key %d, unknown %d, behind %d", counts.WithoutKey, counts.UnknownKey, counts.KeysBehind)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,7 +34,8 @@
 
 // Counts are numbers for the metrics page, since the start: requests that came in, were
 // answered, and were answered with an error of the gateway's own; responses of servers
-// that said that the table is stale, or that they do not lead; and syncs without a response.
+// that said that the table is stale, or that they do not lead; syncs without a response; and,
+// by cause, requests that were refused for their API key.
 type Counts struct {
 	Received        uint64
 	Answered        uint64
@@ -42,6 +43,9 @@
 	Stale           uint64
 	Redirected      uint64
 	SyncsUnanswered uint64
+	WithoutKey      uint64
+	UnknownKey      uint64
+	KeysBehind      uint64
 }
 
 // New makes a gateway that knows no table and no leader yet; it is not ready until it has
--- a/internal/gateway/routing_copy.go
+++ b/internal/gateway/routing_copy.go
@@ -72,5 +72,7 @@
 		return
 	}
 	g.routing.compile()
-	g.logEvent("routing-table", "epoch", g.routing.epoch())
+	replica := &g.routing.replica
+	g.logEvent("routing-table", "epoch", g.routing.epoch(), "version", replica.Version(),
+		"routes", len(replica.Routes()), "tenants", len(replica.Tenants()))
 }
--- a/internal/scheduler/queues.go
+++ b/internal/scheduler/queues.go
@@ -15,6 +15,7 @@
 	budget := c.tenantBudget(u.job)
 	if !budget.withinQuota(u) {
 		c.plan.Reasons.add(u, reasonQuota)
+		c.plan.AtQuota[u.job.Spec.Tenant] = true
 		return placementResult{overQuota: true}
 	}
 	shape := queueShape(u)
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -31,10 +31,12 @@
 	Deferred []identifier.TaskRef
 	// Policies tells how the placement policies of the rows did.
 	Policies PolicyResults
+	// AtQuota are the tenants of which work waits for their quota.
+	AtQuota map[string]bool
 }
 
 func newPlan() Plan {
-	return Plan{Reasons: Reasons{}, Policies: PolicyResults{}}
+	return Plan{Reasons: Reasons{}, Policies: PolicyResults{}, AtQuota: map[string]bool{}}
 }
 
 // PredictedRun is how long a task is expected to run, and by which deviation, in logarithms,
--- a/internal/transport/httpserver/metrics.go
+++ b/internal/transport/httpserver/metrics.go
@@ -16,10 +16,19 @@
 type Gauges struct {
 	mu     sync.Mutex
 	values map[string]float64
+	groups map[string]gaugeGroup
+}
+
+// gaugeGroup is a gauge of several series, which differ in the value of one label.
+type gaugeGroup struct {
+	label  string
+	values map[string]float64
 }
 
 // NewGauges makes an empty set.
-func NewGauges() *Gauges { return &Gauges{values: map[string]float64{}} }
+func NewGauges() *Gauges {
+	return &Gauges{values: map[string]float64{}, groups: map[string]gaugeGroup{}}
+}
 
 // Set gives a gauge its value; the first value creates it.
 func (g *Gauges) Set(name string, value float64) {
@@ -28,6 +37,14 @@
 	g.values[name] = value
 }
 
+// SetGroup gives a gauge a series for each value of a label, in place of those that it had.
+// The caller bounds their number.
+func (g *Gauges) SetGroup(name, label string, values map[string]float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.groups[name] = gaugeGroup{label, values}
+}
+
 // Describe sends nothing: the names are not known beforehand, which makes this an unchecked
 // collector.
 func (g *Gauges) Describe(_ chan<- *prometheus.Desc) {}
@@ -40,4 +57,11 @@
 		description := prometheus.NewDesc(metricPrefix+name, name, nil, nil)
 		out <- prometheus.MustNewConstMetric(description, prometheus.GaugeValue, g.values[name])
 	}
+	for _, name := range slices.Sorted(maps.Keys(g.groups)) {
+		group := g.groups[name]
+		description := prometheus.NewDesc(metricPrefix+name, name, []string{group.label}, nil)
+		for _, value := range slices.Sorted(maps.Keys(group.values)) {
+			out <- prometheus.MustNewConstMetric(description, prometheus.GaugeValue, group.values[value], value)
+		}
+	}
 }
