--- a/internal/scheduler/tenants.go
+++ b/internal/scheduler/tenants.go
@@ -52,6 +52,7 @@
 			return false
 		}
 		c.plan.Reasons.add(u, reasonQuota)
+		c.plan.AtQuota[j.Spec.Tenant] = true
 	}
 	return true
 }
