--- a/internal/gateway/authentication.go
+++ b/internal/gateway/authentication.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/url"
+	"strings"
 
 	"orchidward/internal/api/catalog"
 	"orchidward/internal/api/endpoint"
@@ -17,10 +18,12 @@
 // queue asks for one. The leader checks once more, by the digest of the key that it is sent:
 // this table may be older than its own. A request without a valid key is answered here.
 func (g *Gateway) authenticate(r *request) bool {
+	if strings.Contains(r.Query, endpoint.CredentialParam) {
+		r.Query = withCredential(r.Query, "")
+	}
 	if r.Queue == "" {
 		return true
 	}
-	r.Query = withCredential(r.Query, "")
 	owned := false
 	if r.Credential != "" {
 		digest := g.routing.keys.Digest(r.Credential)
--- a/internal/gateway/authentication_test.go
+++ b/internal/gateway/authentication_test.go
@@ -119,3 +119,12 @@
 		t.Errorf("without key %d, unknown %d, behind %d", counts.WithoutKey, counts.UnknownKey, counts.KeysBehind)
 	}
 }
+
+// TestForgedDigestIsDropped guards against a digest that a client sends itself with a request for no queue.
+func TestForgedDigestIsDropped(t *testing.T) {
+	leader := newTenantLeader(t)
+	attempt := mustForward(t, leader.ask(1, "", ""))
+	if attempt.Query != "" {
+		t.Errorf("passed on with %s", attempt.Query)
+	}
+}
