--- a/internal/api/catalog/sections.go
+++ b/internal/api/catalog/sections.go
@@ -29,11 +29,15 @@
 	restParts
 )
 
-// readSections reads what a patch changes in the source, nil where it changes nothing.
+// readSections reads what a patch changes in the source, nil where it changes nothing or
+// replaces a source that has no sections.
 func readSections(source json.RawMessage, rest []map[string]json.RawMessage, faults *jsondoc.FieldErrors) *SectionChange {
 	change := &SectionChange{Drop: map[string][]string{}}
 	if len(source) > 0 && json.Unmarshal(source, &change.Set) != nil {
-		faults.Malformed("source", "not an object")
+		if len(rest) > 0 {
+			faults.Malformed("rest", "only a source that is an object has sections")
+		}
+		return nil
 	}
 	if len(rest) > restParts {
 		faults.Malformed("rest", "want what is put and what is dropped")
@@ -61,7 +65,7 @@
 func (c *SectionChange) applyTo(source json.RawMessage) json.RawMessage {
 	next := sections{}
 	if len(source) > 0 && json.Unmarshal(source, &next) != nil {
-		return source
+		next = sections{}
 	}
 	maps.Copy(next, c.Set)
 	names := slices.Concat(slices.Collect(maps.Keys(c.Put)), slices.Collect(maps.Keys(c.Drop)))
