--- a/tests/simulation/membership/long_absence_test.go
+++ b/tests/simulation/membership/long_absence_test.go
@@ -67,6 +67,7 @@
 // TestDisksLostAfterLongAbsence: two voters are away for 11 to 13 s, and then as many disks
 // as are tolerated are lost, of servers that were there, while all others lose power.
 func TestDisksLostAfterLongAbsence(t *testing.T) {
+	t.Parallel()
 	for name, leave := range absences {
 		t.Run(name, func(t *testing.T) {
 			eachLargeCluster(t, func(t *testing.T, spec simulation.ClusterSpec) {
@@ -125,6 +126,7 @@
 // TestMembersRejoinAfterLongAbsence: servers that were away for so long that they were
 // removed are members again soon, and the group has five voters, whatever half was away.
 func TestMembersRejoinAfterLongAbsence(t *testing.T) {
+	t.Parallel()
 	for name, leave := range absences {
 		for _, tolerated := range []int{0, toleratedDisks} {
 			t.Run(fmt.Sprintf("%s, %d tolerated", name, tolerated), func(t *testing.T) {
