tests/soak: a trace tells a stopping process that waited for a processor

Waits of threads for a processor are now sampled while a process stops, and a cut is judged unless its process waited since the request.

--- /dev/null
+++ b/tests/soak/waits_test.go
@@ -0,0 +1,60 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	waitSample = 50 * time.Millisecond
+	// maxWait is for how long a thread may wait for a processor within a sample or two before
+	// its process counts as starved.
+	maxWait = 50 * time.Millisecond
+)
+
+// watchWaits notes, until the process ends, when one of its threads waited for a processor: what
+// it does late then is the machine's doing.
+func (l *life) watchWaits() {
+	before := l.waits()
+	ticker := time.NewTicker(waitSample)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.ended:
+			return
+		case <-ticker.C:
+		}
+		now := l.waits()
+		for thread, wait := range now {
+			if more := wait - before[thread]; more >= maxWait {
+				l.mu.Lock()
+				l.starved = time.Now()
+				l.mu.Unlock()
+				l.process.checker.note("%s waited for a processor for %v", l.process.name, more)
+			}
+		}
+		before = now
+	}
+}
+
+// waits is for how long each thread of the process has waited for a processor.
+func (l *life) waits() map[string]time.Duration {
+	waits := map[string]time.Duration{}
+	names, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", l.cmd.Process.Pid))
+	for _, name := range names {
+		text, err := os.ReadFile(name)
+		fields := strings.Fields(string(text))
+		if err != nil || len(fields) < 2 {
+			continue
+		}
+		nanoseconds, err := strconv.ParseInt(fields[1], 10, 64)
+		if err == nil {
+			waits[name] = time.Duration(nanoseconds)
+		}
+	}
+	return waits
+}
