--- a/tests/soak/troubles_test.go
+++ b/tests/soak/troubles_test.go
@@ -50,6 +50,8 @@
 	list   []trouble
 	down   map[*process]bool
 	stalls []stall
+	// lastTick is when the monitor of stalls last ran.
+	lastTick time.Time
 }
 
 // stall is a time for which the machine did not let the tests run.
@@ -59,7 +61,7 @@
 }
 
 func newTroubles(c *checker) *troubles {
-	return &troubles{checker: c, down: map[*process]bool{}}
+	return &troubles{checker: c, down: map[*process]bool{}, lastTick: time.Now()}
 }
 
 // begin notes what happens to a process from now on.
@@ -108,10 +110,14 @@
 	last := time.Now()
 	for pause(ctx, stallTick) {
 		now := time.Now()
-		if now.Sub(last) > stallTick+maxDelay {
-			t.mu.Lock()
+		t.mu.Lock()
+		t.lastTick = now
+		late := now.Sub(last) > stallTick+maxDelay
+		if late {
 			t.stalls = append(t.stalls, stall{last, now})
-			t.mu.Unlock()
+		}
+		t.mu.Unlock()
+		if late {
 			t.checker.note("the machine held up the tests for %v", now.Sub(last).Round(time.Millisecond))
 		}
 		last = now
@@ -123,6 +129,9 @@
 func (t *troubles) stalled(from time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if time.Since(t.lastTick) > stallTick+maxDelay {
+		return true
+	}
 	begin := from.Add(-contactBound)
 	for i := len(t.stalls) - 1; i >= 0; i-- {
 		if t.stalls[i].to.After(begin) {
