--- a/review/drill/callers.go
+++ b/review/drill/callers.go
@@ -95,13 +95,13 @@
 	Coscheduled bool `json:"coscheduled,omitempty"`
 }
 
-// submit hands in a job of one step. The runners work on each of its tasks for the given time.
-func (d *drill) submit(id string, s stage, work time.Duration) error {
-	body, err := json.Marshal(map[string]any{"plant": "plant of " + id, "stages": []stage{s}})
+// submit hands in a job of one step.
+func (d *drill) submit(id string, job expectedJob) error {
+	body, err := json.Marshal(map[string]any{"plant": "plant of " + id, "stages": []stage{job.stage}})
 	if err != nil {
 		return err
 	}
-	d.fleet.expect(id, s, work)
+	d.fleet.expect(id, job)
 	for range 5 {
 		status, _ := d.call(http.MethodPost, d.front, routePrefix+id, routeHost, nil, body)
 		if status/100 == 2 {
--- a/review/drill/fleet.go
+++ b/review/drill/fleet.go
@@ -18,6 +18,7 @@
 // How runs end.
 const (
 	endDone    = "done"
+	endFailed  = "failed"
 	endStopped = "stopped"
 	endLapsed  = "lapsed"
 	endBroken  = "broken"
@@ -39,10 +40,12 @@
 	ends    []*runEnd
 }
 
-// expectedJob is a job that a client hands in.
+// expectedJob is a job that a client hands in. The runs of a task up to number faultyRuns fail
+// through its own fault once their work is done.
 type expectedJob struct {
-	stage stage
-	work  time.Duration
+	stage      stage
+	work       time.Duration
+	faultyRuns uint64
 }
 
 // startRecord is a start that a runner began on an order.
@@ -111,10 +114,10 @@
 }
 
 // expect announces a job that is about to be handed in.
-func (f *fleet) expect(id string, s stage, work time.Duration) {
+func (f *fleet) expect(id string, job expectedJob) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.jobs[id] = expectedJob{stage: s, work: work}
+	f.jobs[id] = job
 }
 
 // add adds the runner of an agent.
@@ -163,16 +166,21 @@
 	}
 }
 
-// finish ends a run that has done its work, and with it all members of its gang.
+// finish ends a run that has done its work, and with it all members of its gang. They fail
+// together if the fault is the job's own.
 func (f *fleet) finish(r *runner, one *run, now time.Time) {
+	how := endDone
+	if one.number <= one.job.faultyRuns {
+		how = endFailed
+	}
 	if !one.job.stage.Coscheduled {
-		r.end(one, endDone, now)
+		r.end(one, how, now)
 		return
 	}
 	for _, other := range f.runners {
 		for _, member := range other.sortedRuns() {
 			if sameGang(member, one) {
-				other.finishMember(member, now)
+				other.finishMember(member, how, now)
 			}
 		}
 	}
@@ -295,3 +303,16 @@
 	f.drill.logf("%s runs most: %d tasks", best.name, len(best.runs))
 	return best
 }
+
+// failedRuns returns how many runs of a job's gang had a member that ended failed.
+func (f *fleet) failedRuns() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	numbers := map[uint64]bool{}
+	for _, e := range f.ends {
+		if e.how == endFailed {
+			numbers[e.number] = true
+		}
+	}
+	return len(numbers)
+}
--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -25,8 +25,9 @@
 type scenario func(d *drill) (broken []string, err error)
 
 var scenarios = map[string]scenario{
-	"gang": halfEndedGang,
-	"ends": manyEnds,
+	"gang":     halfEndedGang,
+	"ends":     manyEnds,
+	"failures": lateFailures,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
--- a/review/drill/runner.go
+++ b/review/drill/runner.go
@@ -114,9 +114,9 @@
 }
 
 // finishMember ends a member of a gang that has done its work.
-func (r *runner) finishMember(one *run, now time.Time) {
+func (r *runner) finishMember(one *run, how string, now time.Time) {
 	delete(r.runs, one.task)
-	r.addEnd(one, endDone, now)
+	r.addEnd(one, how, now)
 }
 
 func (r *runner) addEnd(one *run, how string, now time.Time) {
--- a/review/drill/scenarios.go
+++ b/review/drill/scenarios.go
@@ -29,6 +29,18 @@
 	return fmt.Errorf("not within %v: %s", limit, what)
 }
 
+// startGang hands in a job of one gang of two tasks, and returns the runners on which it runs.
+func (d *drill) startGang(id string, job expectedJob) (members []*runner, err error) {
+	if err = d.submit(id, job); err != nil {
+		return nil, err
+	}
+	err = waitFor("the gang runs on two runners", startMax, func() bool {
+		members = d.fleet.runnersOf(id)
+		return len(members) == 2
+	})
+	return members, err
+}
+
 // halfEndedGang: the agents on the two machines on which a gang runs are killed, and come back five
 // seconds later. The gang ends done meanwhile, under its hold. One of the two runners crashes
 // before its end can be taken note of. Whatever becomes of the gang, no member may be started that
@@ -51,14 +63,9 @@
 		return nil, err
 	}
 	time.Sleep(settleTime)
-	if err := d.submit(id, stage{Count: 2, CPU: 9000, Mem: 1000, Estimate: estimate, Coscheduled: true}, work); err != nil {
-		return nil, err
-	}
-	var members []*runner
-	if err := waitFor("the gang runs on two runners", startMax, func() bool {
-		members = d.fleet.runnersOf(id)
-		return len(members) == 2
-	}); err != nil {
+	gang := stage{Count: 2, CPU: 9000, Mem: 1000, Estimate: estimate, Coscheduled: true}
+	members, err := d.startGang(id, expectedJob{stage: gang, work: work})
+	if err != nil {
 		return nil, err
 	}
 	time.Sleep(killAt)
@@ -106,7 +113,8 @@
 		return nil, err
 	}
 	time.Sleep(settleTime)
-	if err := d.submit(id, stage{Count: tasks, CPU: 10, Mem: 10, Estimate: 4500}, work); err != nil {
+	step := stage{Count: tasks, CPU: 10, Mem: 10, Estimate: 4500}
+	if err := d.submit(id, expectedJob{stage: step, work: work}); err != nil {
 		return nil, err
 	}
 	begun := time.Now()
@@ -134,3 +142,51 @@
 	})
 	return d.fleet.startedTwice(), nil
 }
+
+// lateFailures: the agents on the two machines on which a gang runs are killed, and come back five
+// seconds later. Meanwhile the gang's first run fails through its own fault, on both machines at
+// once. The queue allows two failed runs, so that the job must not be shown as failed.
+func lateFailures(d *drill) ([]string, error) {
+	const (
+		id     = "00000000000000c3"
+		tries  = 2
+		work   = 2 * time.Second
+		killAt = 700 * time.Millisecond
+		down   = 5 * time.Second
+		watch  = 15 * time.Second
+	)
+	if err := d.startCluster([]string{"zone-a", "zone-b", "zone-c"}); err != nil {
+		return nil, err
+	}
+	if err := d.configure(tries); err != nil {
+		return nil, err
+	}
+	time.Sleep(settleTime)
+	gang := stage{Count: 2, CPU: 9000, Mem: 1000, Estimate: 2000, Coscheduled: true}
+	members, err := d.startGang(id, expectedJob{stage: gang, work: work, faultyRuns: 1})
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(killAt)
+	if d.trouble {
+		for _, r := range members {
+			r.agent.kill()
+		}
+		time.Sleep(down)
+		for _, r := range members {
+			if err := r.agent.start(); err != nil {
+				return nil, err
+			}
+		}
+	}
+	mode := ""
+	_ = waitFor("the job is settled or failed", watch, func() bool {
+		time.Sleep(time.Second)
+		mode = d.mode(id)
+		return mode == "settled" || mode == "failed"
+	})
+	if failed := d.fleet.failedRuns(); mode == "failed" && failed < tries {
+		return []string{fmt.Sprintf("LOST: job %s is shown as failed after %d failed run of %d", id, failed, tries)}, nil
+	}
+	return nil, nil
+}
