--- a/review/drill/process.go
+++ b/review/drill/process.go
@@ -25,14 +25,19 @@
 	agentCommand   = []string{"agent", "--hold-ms", "3500"}
 )
 
-const serverCount = 3
+// Machines of a small deployment, of which two are a tenth.
+const (
+	serverCount  = 3
+	gatewayCount = 5
+	agentCount   = 12
+)
 
 // zones are the zones of the machines: a server stands in each.
 var zones = []string{"zone-a", "zone-b", "zone-c"}
 
-// startCluster starts three servers, a gateway, and an agent with a runner in each of the given
-// zones.
-func (d *drill) startCluster(agentZones []string) error {
+// startCluster starts the servers, the gateways, and the agents with a runner each, spread over
+// the zones.
+func (d *drill) startCluster() error {
 	var seeds []string
 	for machine := range serverCount {
 		seeds = append(seeds, fmt.Sprintf("%q", d.addr(machine, controlPort)))
@@ -52,17 +57,26 @@
 		}
 	}
 	d.front = d.addr(serverCount, frontPort)
-	text := d.settings("edge-3", "edge", serverCount, zones[0], list, 284) +
-		fmt.Sprintf("[listen]\nfront = %q\nready = %q\n", d.front, d.addr(serverCount, readyPort))
-	if err := d.start("gateway", text, gatewayCommand); err != nil {
-		return err
+	for i := range gatewayCount {
+		machine := serverCount + i
+		text := d.settings(fmt.Sprintf("edge-%d", machine), "edge", machine, zones[i%len(zones)], list, 284) +
+			fmt.Sprintf("[listen]\nfront = %q\nready = %q\n", d.addr(machine, frontPort), d.addr(machine, readyPort))
+		if err := d.start(fmt.Sprintf("gateway-%d", i), text, gatewayCommand); err != nil {
+			return err
+		}
 	}
-	for i, zone := range agentZones {
-		machine := serverCount + 1 + i
+	return d.startAgents(list)
+}
+
+// startAgents starts the agents, which know the given seeds, and their runners.
+func (d *drill) startAgents(seeds string) error {
+	for i := range agentCount {
+		zone := zones[i%len(zones)]
+		machine := serverCount + gatewayCount + i
 		control := d.addr(machine, controlPort)
 		name := fmt.Sprintf("agent-%d", i)
-		text = fmt.Sprintf("commands = \"heartbeat\"\ntarget = %q\napp = %q\n", serviceName, control) +
-			d.settings(fmt.Sprintf("side-%d", i), "side", machine, zone, list, 152) +
+		text := fmt.Sprintf("commands = \"heartbeat\"\ntarget = %q\napp = %q\n", serviceName, control) +
+			d.settings(fmt.Sprintf("side-%d", i), "side", machine, zone, seeds, 152) +
 			fmt.Sprintf("[listen]\ncontrol = %q\n", control)
 		if err := d.start(name, text, agentCommand); err != nil {
 			return err
--- a/review/drill/scenarios.go
+++ b/review/drill/scenarios.go
@@ -56,7 +56,7 @@
 		crashFor   = 1500 * time.Millisecond
 		watch      = 18 * time.Second
 	)
-	if err := d.startCluster([]string{"zone-a", "zone-b", "zone-c"}); err != nil {
+	if err := d.startCluster(); err != nil {
 		return nil, err
 	}
 	if err := d.configure(4); err != nil {
@@ -106,7 +106,7 @@
 		restart = 500 * time.Millisecond
 		watch   = 25 * time.Second
 	)
-	if err := d.startCluster([]string{"zone-a", "zone-b", "zone-c"}); err != nil {
+	if err := d.startCluster(); err != nil {
 		return nil, err
 	}
 	if err := d.configure(4); err != nil {
@@ -155,7 +155,7 @@
 		down   = 5 * time.Second
 		watch  = 15 * time.Second
 	)
-	if err := d.startCluster([]string{"zone-a", "zone-b", "zone-c"}); err != nil {
+	if err := d.startCluster(); err != nil {
 		return nil, err
 	}
 	if err := d.configure(tries); err != nil {
