state: a late success of one member completes the whole gang

Cause: the end of an attempt whose lease was counted lost went through a path of its own. succeedLate marked the one task that reported, while the ordinary path (succeedTasks) marks every member of the gang. A member whose runner had crashed meanwhile could never report, and placementValid takes a gang of those members that still wait.

Change: both paths go through succeedStepTasks, which completes every member and revokes what a later attempt runs. The raise to level 7 completes gangs that an earlier program left half ended.

--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -69,6 +69,9 @@
 	if s.Level >= RackScopeLevel {
 		s.updateRackDrains()
 	}
+	if s.Level >= LateGangSuccessLevel {
+		s.completeHalfEndedGangs()
+	}
 }
 
 // startDelayedJobs makes jobs pending once their start time is reached.
--- a/internal/state/compatibility_test.go
+++ b/internal/state/compatibility_test.go
@@ -15,7 +15,7 @@
 	for _, recorded := range []struct {
 		level   uint16
 		entries int
-	}{{2, 15}, {3, 52}, {4, 112}} {
+	}{{2, 15}, {3, 52}, {4, 112}, {6, 240}} {
 		t.Run(fmt.Sprint(recorded.level), func(t *testing.T) { replayEntries(t, recorded.level, recorded.entries) })
 	}
 }
--- a/internal/state/lease_lifecycle.go
+++ b/internal/state/lease_lifecycle.go
@@ -76,14 +76,18 @@
 // reportLateEnd processes the end of an attempt whose lease was already counted lost.
 func (s *Store) reportLateEnd(runner identifier.Runner, end End) {
 	j, task := s.findTask(end.Task)
-	if task == nil || !task.forgetLostLease(end.Lease) || task.State.Ended() {
+	if task == nil {
+		return
+	}
+	attempt, wasLost := task.forgetLostLease(end.Lease)
+	if !wasLost || task.State.Ended() {
 		return
 	}
 	ref := end.Task
 	ref.Job = j.Key
 	switch end.Outcome {
 	case OutcomeSuccess:
-		s.succeedLate(j, ref)
+		s.succeedLate(j, ref, attempt)
 	case OutcomeDefect:
 		s.Runners[runner].recordOutcome(false)
 		if j.Terms == nil {
@@ -101,17 +105,17 @@
 }
 
 // succeedLate completes a task when an attempt that was counted lost turns out to have
-// succeeded, and revokes the attempt that replaced it. Services never succeed.
-func (s *Store) succeedLate(j *Job, ref identifier.TaskRef) {
-	if j.Terms != nil && j.Spec.Steps[ref.Step].Service {
-		return
-	}
-	task := j.Task(ref)
-	if task.State == Placed {
-		s.revokeLease(s.Leases[task.Lease], RevokeDoneElsewhere)
+// succeeded. Services never succeed.
+func (s *Store) succeedLate(j *Job, ref identifier.TaskRef, attempt uint64) {
+	switch {
+	case j.Terms == nil:
+		s.succeedTask(j, ref, attempt)
+	case j.Spec.Steps[ref.Step].Service:
+	case s.Level < LateGangSuccessLevel:
+		s.succeedTask(j, ref, attempt)
+	default:
+		s.succeedStepTasks(j, ref, attempt)
 	}
-	s.setTaskState(j, ref, Succeeded)
-	task.Reason = ""
 }
 
 // endLease closes a lease and determines the next state of its task.
--- a/internal/state/levels.go
+++ b/internal/state/levels.go
@@ -5,7 +5,7 @@
 // different program versions apply each command identically.
 const (
 	// SupportedLevel is the highest level that this program supports.
-	SupportedLevel = TenantLevel
+	SupportedLevel = LateGangSuccessLevel
 
 	// ChecksumLevel is the first level at which the checksum is maintained.
 	ChecksumLevel uint16 = 1
@@ -24,4 +24,7 @@
 	// TenantLevel is the first level at which a catalogue has tenants and jobs belong to
 	// them.
 	TenantLevel uint16 = 6
+	// LateGangSuccessLevel is the first level at which a late success of one member of a
+	// queue's gang completes the step for all members.
+	LateGangSuccessLevel uint16 = 7
 )
--- a/internal/state/queue_attempts.go
+++ b/internal/state/queue_attempts.go
@@ -21,7 +21,7 @@
 		task.recordLostLease(lease)
 	}
 	if outcome == OutcomeSuccess && !service {
-		s.succeedTasks(j, lease.Task)
+		s.succeedStepTasks(j, lease.Task, lease.Attempt)
 		return
 	}
 	if j.ending() {
@@ -42,19 +42,44 @@
 	}
 }
 
-// succeedTasks marks the task, and every member of its gang, as succeeded.
-func (s *Store) succeedTasks(j *Job, ref identifier.TaskRef) {
-	s.setTaskState(j, ref, Succeeded)
+// succeedStepTasks completes the task whose attempt succeeded, and every other member of
+// its gang: the success of one member stands for all of them.
+func (s *Store) succeedStepTasks(j *Job, ref identifier.TaskRef, attempt uint64) {
+	s.succeedTask(j, ref, attempt)
 	if !j.Spec.Steps[ref.Step].Gang {
 		return
 	}
 	for num, member := range j.Steps[ref.Step] {
 		if !member.State.Ended() {
-			s.setTaskState(j, identifier.TaskRef{Job: j.Key, Step: ref.Step, Num: num}, Succeeded)
+			s.succeedTask(j, identifier.TaskRef{Job: j.Key, Step: ref.Step, Num: num}, attempt)
 		}
 	}
 }
 
+// succeedTask completes a task, and revokes its open lease unless that belongs to the
+// attempt that succeeded. Attempts of row jobs have no number: the caller has closed the
+// lease of the one that succeeded.
+func (s *Store) succeedTask(j *Job, ref identifier.TaskRef, attempt uint64) {
+	task := j.Task(ref)
+	lease := s.Leases[task.Lease]
+	if lease != nil && (j.Terms == nil || lease.Attempt != attempt) {
+		s.revokeLease(lease, RevokeDoneElsewhere)
+	}
+	s.setTaskState(j, ref, Succeeded)
+	task.Reason = ""
+}
+
+// completeHalfEndedGangs completes the gangs of which an earlier version counted only some
+// members as succeeded.
+func (s *Store) completeHalfEndedGangs() {
+	s.eachUnfinishedTask(func(j *Job, ref identifier.TaskRef, task *Task) {
+		gang := j.Terms != nil && j.Spec.Steps[ref.Step].Gang
+		if gang && !task.State.Ended() && j.stepCounts[ref.Step].succeeded > 0 {
+			s.succeedTask(j, ref, unknownAttempt)
+		}
+	})
+}
+
 // countQueuedDefect counts a failed attempt against the maximum in the terms of the job's
 // queue. An attempt of a gang counts once however many members report it; the count is
 // kept with the first member. Services may fail any number of times.
--- a/internal/state/task.go
+++ b/internal/state/task.go
@@ -47,16 +47,17 @@
 	t.LostAttempts = keepLast(append(t.LostAttempts, lease.Attempt), maxLostLeases)
 }
 
-// forgetLostLease removes a lease from the lost ones and reports whether it was among
-// them.
-func (t *Task) forgetLostLease(id identifier.LeaseID) bool {
+// forgetLostLease removes a lease from the lost ones. It returns the number of its
+// attempt, 0 for a job of rows, and reports whether the lease was among them.
+func (t *Task) forgetLostLease(id identifier.LeaseID) (attempt uint64, ok bool) {
 	index := slices.Index(t.LostLeases, id)
 	if index < 0 {
-		return false
+		return 0, false
 	}
 	t.LostLeases = slices.Delete(slices.Clone(t.LostLeases), index, index+1)
 	if index < len(t.LostAttempts) {
+		attempt = t.LostAttempts[index]
 		t.LostAttempts = slices.Delete(slices.Clone(t.LostAttempts), index, index+1)
 	}
-	return true
+	return attempt, true
 }
--- a/tests/mutation/jobs.go
+++ b/tests/mutation/jobs.go
@@ -136,6 +136,22 @@
 		tests:       test("./internal/state", "TestQueueAttempts"),
 		want:        "counted twice",
 	},
+	{
+		name:        "late success of a gang completes one member only",
+		file:        "internal/state/lease_lifecycle.go",
+		original:    "s.succeedStepTasks(j, ref, attempt)",
+		replacement: "s.succeedTask(j, ref, attempt)",
+		tests:       test("./tests/simulation/agents", "TestGangEndsWhileCutOff"),
+		want:        "after the success of its gang was acknowledged",
+	},
+	{
+		name:        "half-ended gangs remain when the level rises",
+		file:        "internal/state/apply.go",
+		original:    "\t\ts.completeHalfEndedGangs()\n",
+		replacement: "",
+		tests:       test("./internal/state", "TestHalfEndedGangOnRaise"),
+		want:        "want well",
+	},
 	{
 		name:        "task is placed in any pool",
 		file:        "internal/state/queue_jobs.go",
--- a/tests/simulation/agent_runs.go
+++ b/tests/simulation/agent_runs.go
@@ -26,6 +26,9 @@
 	jobs    map[identifier.JobKey]*agentJob
 	// succeeded are the tasks whose success the control plane acknowledged.
 	succeeded map[identifier.TaskRef]bool
+	// gangSucceededAt is when the control plane acknowledged the first success of a member
+	// of each gang.
+	gangSucceededAt map[gangStep]int64
 	// brokenGangs are the attempts of gangs of which a member ended without success.
 	brokenGangs map[gangAttempt]bool
 }
@@ -38,6 +41,12 @@
 	cancelledAt int64
 }
 
+// gangStep identifies the gang of one occurrence of a job.
+type gangStep struct {
+	job  identifier.JobKey
+	step int
+}
+
 // gangAttempt identifies one attempt of a gang.
 type gangAttempt struct {
 	job     identifier.JobKey
@@ -47,12 +56,13 @@
 
 func newAgentRuns(c *Cluster) *AgentRuns {
 	return &AgentRuns{
-		Ends:        map[string]int{},
-		LastFailure: map[*AgentRunner]int64{},
-		cluster:     c,
-		jobs:        map[identifier.JobKey]*agentJob{},
-		succeeded:   map[identifier.TaskRef]bool{},
-		brokenGangs: map[gangAttempt]bool{},
+		Ends:            map[string]int{},
+		LastFailure:     map[*AgentRunner]int64{},
+		cluster:         c,
+		jobs:            map[identifier.JobKey]*agentJob{},
+		succeeded:       map[identifier.TaskRef]bool{},
+		gangSucceededAt: map[gangStep]int64{},
+		brokenGangs:     map[gangAttempt]bool{},
 	}
 }
 
@@ -133,6 +143,7 @@
 	a.checkDrain(r, run)
 	a.checkCapacity(r, run)
 	a.checkGangAttempt(r, run)
+	a.checkGangSuccess(r, run)
 }
 
 // checkDrain detects a start in a domain whose drain was acknowledged.
@@ -165,6 +176,15 @@
 	}
 }
 
+// checkGangSuccess detects the start of a gang member after the success of any member was
+// acknowledged, which counts for the whole gang.
+func (a *AgentRuns) checkGangSuccess(r *AgentRunner, run *AgentRun) {
+	ackedAt := a.gangSucceededAt[gangStep{run.Task.Job, run.Task.Step}]
+	if ackedAt > 0 && a.cluster.Now > ackedAt+agentStartInFlight {
+		a.violate(invariants.GangRunsTogether, "%s starts %s %d ms after the success of its gang was acknowledged", r.Name, run.Task, a.cluster.Now-ackedAt)
+	}
+}
+
 // checkSubmitted detects the start of a task that no client submitted, that has another
 // payload, or whose job was cancelled.
 func (a *AgentRuns) checkSubmitted(r *AgentRunner, run *AgentRun) {
@@ -182,10 +202,11 @@
 }
 
 // How long after the cancellation of its job, and after the drain of its domain, a task
-// may still start, in ms.
+// may still start, and how long a start may be in flight, in ms.
 const (
 	maxAgentStartAfterCancel = 3000
 	maxAgentStartAfterDrain  = 5000
+	agentStartInFlight       = 1600
 )
 
 func (a *AgentRuns) ended(r *AgentRunner, run *AgentRun, outcome string) {
@@ -204,8 +225,13 @@
 
 // observed records that the control plane acknowledged the end of an attempt.
 func (a *AgentRuns) observed(end runnerapi.RunEnd) {
-	if end.Outcome == runnerapi.OutcomeSuccess {
-		a.succeeded[end.Task] = true
+	if end.Outcome != runnerapi.OutcomeSuccess {
+		return
+	}
+	a.succeeded[end.Task] = true
+	gang := gangStep{end.Task.Job, end.Task.Step}
+	if a.step(end.Task).Gang && a.gangSucceededAt[gang] == 0 {
+		a.gangSucceededAt[gang] = a.cluster.Now
 	}
 }
 
