agent: absence from a truncated list of ends is no proof of anything

Cause: the agent took every attempt to stop that a heartbeat listed neither as active nor as finished as certain never to run (recordCleared), and the leader closed its lease as stopped. The same absence made the agent give up a start in flight and hand out repeated starts, which the runner then refused.

The poll between agent and leader is unchanged, so mixed versions run.

Evidence: the log line ends-truncated and `run-never-started` for attempts that the runner had ended.

--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -49,6 +49,9 @@
 	DepartsIn clock.Millis
 	Active    []runnerapi.RunState
 	Finished  []runnerapi.RunEnd
+	// EndsTruncated is set if Finished may lack ends, which the runner lists once the
+	// listed ones are observed. An attempt in neither list may then have ended.
+	EndsTruncated bool
 }
 
 // Orders is the response to a heartbeat. Lease is how long the running attempts may
--- a/internal/agent/heartbeats.go
+++ b/internal/agent/heartbeats.go
@@ -99,7 +99,9 @@
 	if left := a.contact.leaseLeft(a.now); left > 0 {
 		orders.Lease = min(left, a.usualLease())
 		a.runner.leaseEnd = max(a.runner.leaseEnd, a.now.Add(orders.Lease.WithDrift()))
-		orders.Start = a.orders.takeStarts(a.now)
+		if !heartbeat.EndsTruncated {
+			orders.Start = a.orders.takeStarts(a.now)
+		}
 	}
 	orders.Stop = a.orders.stopsForRunner()
 	a.pollIfDue()
@@ -160,34 +162,48 @@
 // compareWithOrders compares a heartbeat with the previous one and with the pending orders,
 // and sets unreported if anything changed.
 func (a *Agent) compareWithOrders(heartbeat *Heartbeat) {
-	present := heartbeat.attempts()
-	if differs(a.runner.heartbeat, heartbeat, present) {
+	reported := heartbeat.attempts()
+	if differs(a.runner.heartbeat, heartbeat, reported) {
 		a.unreported = true
 	}
-	if a.orders.pruneStarts(present, a.runner.drainingAsOf(heartbeat), a.now) {
+	if heartbeat.EndsTruncated && (a.runner.heartbeat == nil || !a.runner.heartbeat.EndsTruncated) {
+		a.logEvent("ends-truncated", "runner", heartbeat.Runner, "listed", len(heartbeat.Finished))
+	}
+	if a.orders.pruneStarts(reported, a.runner.drainingAsOf(heartbeat), a.now) {
 		a.unreported = true
 	}
-	for _, stopped := range a.orders.recordCleared(present) {
+	for _, stopped := range a.orders.recordCleared(reported) {
 		a.unreported = true
 		a.logEvent("run-never-started", "task", stopped.task, "run", stopped.number)
 	}
 }
 
-// attempts returns the set of attempts that the heartbeat reports as running or ended.
-func (h *Heartbeat) attempts() map[attempt]bool {
-	set := map[attempt]bool{}
+// reportedAttempts are the attempts that a heartbeat lists as running or ended. complete is
+// set if the lists have all of them.
+type reportedAttempts struct {
+	listed   map[attempt]bool
+	complete bool
+}
+
+// absent reports whether the runner certainly neither runs an attempt nor holds an end of it
+// that is not observed yet.
+func (r reportedAttempts) absent(name attempt) bool { return r.complete && !r.listed[name] }
+
+// attempts returns the attempts that the heartbeat reports.
+func (h *Heartbeat) attempts() reportedAttempts {
+	reported := reportedAttempts{listed: map[attempt]bool{}, complete: !h.EndsTruncated}
 	for _, active := range h.Active {
-		set[attempt{active.Task, active.Attempt}] = true
+		reported.listed[attempt{active.Task, active.Attempt}] = true
 	}
 	for _, finished := range h.Finished {
-		set[attempt{finished.Task, finished.Attempt}] = true
+		reported.listed[attempt{finished.Task, finished.Attempt}] = true
 	}
-	return set
+	return reported
 }
 
 // differs reports whether a heartbeat has changes over the previous one other than the
 // progress of attempts.
-func differs(previous, current *Heartbeat, present map[attempt]bool) bool {
+func differs(previous, current *Heartbeat, reported reportedAttempts) bool {
 	if previous == nil || previous.Draining != current.Draining || previous.Capacity != current.Capacity || previous.Pool != current.Pool {
 		return true
 	}
@@ -195,7 +211,7 @@
 		return true
 	}
 	for _, active := range previous.Active {
-		if !present[attempt{active.Task, active.Attempt}] {
+		if !reported.listed[attempt{active.Task, active.Attempt}] {
 			return true
 		}
 	}
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -37,8 +37,8 @@
 type pendingOrders struct {
 	starts map[attempt]*startOrder
 	stops  map[attempt]bool
-	// cleared holds the attempts to stop that a heartbeat received after the stop order
-	// did not report, and that therefore never run.
+	// cleared holds the attempts to stop that were absent from a heartbeat received after
+	// the stop order, and that therefore never run.
 	cleared map[attempt]bool
 	// observedThrough is the sequence number up to which the control plane has recorded
 	// the ends reported by the runner.
@@ -116,12 +116,13 @@
 }
 
 // pruneStarts drops, when a heartbeat arrives, starts that the heartbeat reports, that were
-// already sent, that have expired, or that a draining runner must not receive. It reports
-// whether there were any.
-func (p *pendingOrders) pruneStarts(present map[attempt]bool, draining bool, now clock.Monotonic) bool {
+// sent although the attempt is absent, that have expired, or that a draining runner must not
+// receive. It reports whether there were any.
+func (p *pendingOrders) pruneStarts(reported reportedAttempts, draining bool, now clock.Monotonic) bool {
 	dropped := false
 	for name, order := range p.starts {
-		if present[name] || order.sent || now > order.expires || draining {
+		unreceived := order.sent && reported.absent(name)
+		if reported.listed[name] || unreceived || now > order.expires || draining {
 			delete(p.starts, name)
 			dropped = true
 		}
@@ -129,12 +130,12 @@
 	return dropped
 }
 
-// recordCleared marks as cleared the attempts to stop that a heartbeat does not report, and
+// recordCleared marks as cleared the attempts to stop that are absent from a heartbeat, and
 // returns those that were not marked before.
-func (p *pendingOrders) recordCleared(present map[attempt]bool) []attempt {
+func (p *pendingOrders) recordCleared(reported reportedAttempts) []attempt {
 	var list []attempt
 	for stopped := range p.stops {
-		if !present[stopped] && !p.cleared[stopped] {
+		if reported.absent(stopped) && !p.cleared[stopped] {
 			p.cleared[stopped] = true
 			list = append(list, stopped)
 		}
@@ -164,11 +165,11 @@
 
 // addStarts adds new starts and reports whether there were any. It ignores attempts that
 // already have a start order, that must stop, or that the runner reports.
-func (p *pendingOrders) addStarts(list []runnerapi.Start, present map[attempt]bool, expires clock.Monotonic) bool {
+func (p *pendingOrders) addStarts(list []runnerapi.Start, reported reportedAttempts, expires clock.Monotonic) bool {
 	added := false
 	for _, start := range list {
 		name := attempt{start.Task, start.Attempt}
-		if p.starts[name] == nil && !p.stops[name] && !present[name] {
+		if p.starts[name] == nil && !p.stops[name] && !reported.listed[name] {
 			p.starts[name] = &startOrder{Start: start, expires: expires}
 			added = true
 		}
--- a/tests/mutation/runners.go
+++ b/tests/mutation/runners.go
@@ -26,6 +26,22 @@
 		tests:       test("./tests/simulation/scenarios", "TestIncompleteGang"),
 		want:        "in part for",
 	},
+	{
+		name:        "truncated list of ends counts as complete",
+		file:        "internal/agent/heartbeats.go",
+		original:    "complete: !h.EndsTruncated",
+		replacement: "complete: true",
+		tests:       test("./tests/simulation/agents", "TestDrainWithTruncatedEnds"),
+		want:        "P3 at",
+	},
+	{
+		name:        "full list of ends counts as complete",
+		file:        "platform/runs.go",
+		original:    "len(finished) >= maxListedEnds",
+		replacement: "len(finished) > maxListedEnds",
+		tests:       test("./platform", "TestFullListOfEndsIsTruncated"),
+		want:        "500 ends listed",
+	},
 	{
 		name:        "late poll responses start tasks",
 		file:        "internal/runner/polls.go",
--- a/tests/simulation/agent_runner.go
+++ b/tests/simulation/agent_runner.go
@@ -24,9 +24,13 @@
 	cluster *Cluster
 	rack    identifier.Rack
 	runs    []*AgentRun
-	// ends are the ended attempts that the control plane has not acknowledged.
+	// ends are the ended attempts that the control plane has not acknowledged. A heartbeat
+	// lists the first agentListedEnds of them.
 	ends       []runnerapi.RunEnd
 	lastEndSeq uint64
+	// lapsedThrough is the sequence number of the last end before the runner's lease last
+	// lapsed.
+	lapsedThrough uint64
 	// settled is the highest attempt of each task that has ended or was stopped here.
 	settled map[identifier.TaskRef]uint64
 	fence   uint64
@@ -60,6 +64,10 @@
 	maxGangWait         clock.Millis = 3000
 )
 
+// agentListedEnds is how many ends a heartbeat lists at once: few, so that runs with few
+// tasks have truncated lists too.
+const agentListedEnds = 2
+
 // completePercent is the progress of a completed attempt.
 const completePercent = 100
 
@@ -75,7 +83,7 @@
 	r.begin(r.cluster.Now)
 	r.runs, r.ends = nil, nil
 	r.settled = map[identifier.TaskRef]uint64{}
-	r.lastEndSeq, r.heartbeatSeq, r.awaited, r.fence = 0, 0, 0, 0
+	r.lastEndSeq, r.lapsedThrough, r.heartbeatSeq, r.awaited, r.fence = 0, 0, 0, 0, 0
 	r.sentAt, r.nextHeartbeat, r.leaseEnd = 0, 0, 0
 	r.cluster.tickWhileUp(r.Process, agentRunnerTick, r.tick)
 }
@@ -118,6 +126,9 @@
 // endRuns ends the attempts that have an outcome.
 func (r *AgentRunner) endRuns() {
 	now := r.now()
+	if now > r.leaseEnd {
+		r.lapsedThrough = r.lastEndSeq
+	}
 	running := r.runs[:0:0]
 	for _, run := range r.runs {
 		outcome := r.outcome(run, now)
@@ -177,8 +188,10 @@
 		Domain:   identifier.Domain(r.Domain),
 		Rack:     r.rack,
 		Capacity: r.Capacity,
-		Finished: slices.Clone(r.ends),
 	}
+	listed := min(len(r.ends), agentListedEnds)
+	heartbeat.Finished = slices.Clone(r.ends[:listed])
+	heartbeat.EndsTruncated = listed == agentListedEnds
 	for _, run := range r.runs {
 		heartbeat.Active = append(heartbeat.Active, runnerapi.RunState{Task: run.Task, Attempt: run.Attempt, ProgressPercent: run.percent(r.now())})
 	}
@@ -229,7 +242,7 @@
 			unobserved = append(unobserved, end)
 			continue
 		}
-		r.cluster.AgentRuns.observed(end)
+		r.cluster.AgentRuns.observed(end, end.Seq <= r.lapsedThrough)
 	}
 	r.ends = unobserved
 }
--- a/tests/simulation/agent_runs.go
+++ b/tests/simulation/agent_runs.go
@@ -26,6 +26,8 @@
 	jobs    map[identifier.JobKey]*agentJob
 	// succeeded are the tasks whose success the control plane acknowledged.
 	succeeded map[identifier.TaskRef]bool
+	// lastAttempt is the highest attempt of each task that has started.
+	lastAttempt map[identifier.TaskRef]uint64
 	// gangSucceededAt is when the control plane acknowledged the first success of a member
 	// of each gang.
 	gangSucceededAt map[gangStep]int64
@@ -61,6 +63,7 @@
 		cluster:         c,
 		jobs:            map[identifier.JobKey]*agentJob{},
 		succeeded:       map[identifier.TaskRef]bool{},
+		lastAttempt:     map[identifier.TaskRef]uint64{},
 		gangSucceededAt: map[gangStep]int64{},
 		brokenGangs:     map[gangAttempt]bool{},
 	}
@@ -144,6 +147,7 @@
 	a.checkCapacity(r, run)
 	a.checkGangAttempt(r, run)
 	a.checkGangSuccess(r, run)
+	a.lastAttempt[run.Task] = max(a.lastAttempt[run.Task], run.Attempt)
 }
 
 // checkDrain detects a start in a domain whose drain was acknowledged.
@@ -223,11 +227,15 @@
 	}
 }
 
-// observed records that the control plane acknowledged the end of an attempt.
-func (a *AgentRuns) observed(end runnerapi.RunEnd) {
+// observed records that the control plane acknowledged the end of an attempt. No later
+// attempt may have started, unless the runner's lease lapsed since the end.
+func (a *AgentRuns) observed(end runnerapi.RunEnd, lapsed bool) {
 	if end.Outcome != runnerapi.OutcomeSuccess {
 		return
 	}
+	if later := a.lastAttempt[end.Task]; later > end.Attempt && !lapsed {
+		a.violate(invariants.RunsOnce, "%s attempt %d started before the success of attempt %d was acknowledged", end.Task, later, end.Attempt)
+	}
 	a.succeeded[end.Task] = true
 	gang := gangStep{end.Task.Job, end.Task.Step}
 	if a.step(end.Task).Gang && a.gangSucceededAt[gang] == 0 {
