controlplane: the first reported end of an attempt counts

Callers could see a task done twice (TWICE).

Cause: ends are kept by lease, and the last one of a poll replaced those before it. A poll with both closed the lease as refused, and the task was placed again.

Change: ends are read in the runner's order, and the first of an attempt is kept. The ends are sorted once, before they are read.

A mutation undoes the fix.

--- a/internal/controlplane/agent_polls.go
+++ b/internal/controlplane/agent_polls.go
@@ -167,6 +167,7 @@
 
 func (s *Server) recordFinishedRuns(name identifier.Runner, agent *agentRunner, poll *runnerapi.PollRequest) {
 	agent.ends = agent.ends[:0]
+	slices.SortStableFunc(poll.Finished, func(x, y runnerapi.RunEnd) int { return cmp.Compare(x.Seq, y.Seq) })
 	for _, finished := range poll.Finished {
 		id, task, ok := s.state.ResolveRun(name, poll.Incarnation, finished.Task, finished.Attempt)
 		if !ok {
@@ -176,7 +177,6 @@
 		}
 		agent.ends = append(agent.ends, reportedEnd{finished.Seq, id, task})
 	}
-	slices.SortStableFunc(agent.ends, func(x, y reportedEnd) int { return cmp.Compare(x.seq, y.seq) })
 }
 
 // lookahead is how many attempts of the previous poll to search for a match.
--- a/internal/controlplane/runner_polls.go
+++ b/internal/controlplane/runner_polls.go
@@ -147,9 +147,13 @@
 	}
 }
 
-// recordEnded records the attempts that a poll reports as ended.
+// recordEnded records the attempts that a poll reports as ended. The first end of an attempt
+// is the one that counts: a runner also reports that it refused a repeated start.
 func (s *Server) recordEnded(contact *runnerContact, poll *runnerapi.PollRequest) {
 	for _, end := range poll.Ended {
+		if _, reported := contact.ended[end.Lease]; reported {
+			continue
+		}
 		contact.ended[end.Lease] = end
 		if s.state.Leases[end.Lease] != nil {
 			s.leader.leases.confirmed[end.Lease] = true
--- a/tests/mutation/runners.go
+++ b/tests/mutation/runners.go
@@ -34,6 +34,14 @@
 		tests:       test("./tests/simulation/agents", "TestDrainWithTruncatedEnds"),
 		want:        "P3 at",
 	},
+	{
+		name:        "last end of an attempt in a poll counts",
+		file:        "internal/controlplane/runner_polls.go",
+		original:    "if _, reported := contact.ended[end.Lease]; reported {",
+		replacement: "if _, reported := contact.ended[end.Lease]; reported && false {",
+		tests:       test("./internal/controlplane", "TestRefusalDoesNotReplaceEnd"),
+		want:        "TWICE",
+	},
 	{
 		name:        "full list of ends counts as complete",
 		file:        "platform/runs.go",
