state: an attempt counts as one failure, also when its ends come late

Cause: late ends were counted as those of an unknown attempt, for which the check that counts an attempt of a gang once was skipped. A gang of N members used up N tries at once. The check itself compared with the last number only, so that it could not simply be used: a late failure of an earlier attempt would not have counted at all.

Change: from level 8 on a task keeps the numbers of its failed attempts (as many as its queue allows), and both paths count through countQueuedDefect with the attempt's own number, which a lost lease keeps. The raise to level 8 takes over the last number.

--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -72,6 +72,9 @@
 	if s.Level >= LateGangSuccessLevel {
 		s.completeHalfEndedGangs()
 	}
+	if s.Level >= LateGangDefectLevel {
+		s.convertDefectiveAttempts()
+	}
 }
 
 // startDelayedJobs makes jobs pending once their start time is reached.
--- a/internal/state/lease_lifecycle.go
+++ b/internal/state/lease_lifecycle.go
@@ -90,11 +90,7 @@
 		s.succeedLate(j, ref, attempt)
 	case OutcomeDefect:
 		s.Runners[runner].recordOutcome(false)
-		if j.Terms == nil {
-			s.countDefect(j, ref, runner)
-		} else {
-			s.countQueuedDefect(j, ref, runner, unknownAttempt)
-		}
+		s.countLateDefect(j, ref, runner, attempt)
 	default:
 		if task.State == AwaitingRunner && task.LastRunner == runner {
 			s.setTaskState(j, ref, Waiting)
@@ -104,6 +100,18 @@
 	s.completeJob(j)
 }
 
+// countLateDefect counts a defect of an attempt that was counted lost.
+func (s *Store) countLateDefect(j *Job, ref identifier.TaskRef, runner identifier.Runner, attempt uint64) {
+	switch {
+	case j.Terms == nil:
+		s.countDefect(j, ref, runner)
+	case s.Level < LateGangDefectLevel:
+		s.countQueuedDefect(j, ref, runner, unknownAttempt)
+	default:
+		s.countQueuedDefect(j, ref, runner, attempt)
+	}
+}
+
 // succeedLate completes a task when an attempt that was counted lost turns out to have
 // succeeded. Services never succeed.
 func (s *Store) succeedLate(j *Job, ref identifier.TaskRef, attempt uint64) {
--- a/internal/state/levels.go
+++ b/internal/state/levels.go
@@ -5,7 +5,7 @@
 // different program versions apply each command identically.
 const (
 	// SupportedLevel is the highest level that this program supports.
-	SupportedLevel = LateGangSuccessLevel
+	SupportedLevel = LateGangDefectLevel
 
 	// ChecksumLevel is the first level at which the checksum is maintained.
 	ChecksumLevel uint16 = 1
@@ -27,4 +27,7 @@
 	// LateGangSuccessLevel is the first level at which a late success of one member of a
 	// queue's gang completes the step for all members.
 	LateGangSuccessLevel uint16 = 7
+	// LateGangDefectLevel is the first level at which the late defects of an attempt count
+	// once, however many members of its gang report one.
+	LateGangDefectLevel uint16 = 8
 )
--- a/internal/state/queue_attempts.go
+++ b/internal/state/queue_attempts.go
@@ -2,8 +2,7 @@
 
 import "orchidward/internal/api/identifier"
 
-// unknownAttempt is the attempt number used when the lease of the attempt no longer
-// exists.
+// unknownAttempt is no number of an attempt: they count from 1.
 const unknownAttempt uint64 = 0
 
 // endQueuedAttempt determines the next state of a task of a queue's job whose lease has
@@ -94,10 +93,9 @@
 	if step.Gang {
 		counted = j.Steps[ref.Step][0]
 	}
-	if attempt != unknownAttempt && counted.LastDefectiveAttempt >= attempt {
+	if !s.recordDefectiveAttempt(counted, attempt) {
 		return
 	}
-	counted.LastDefectiveAttempt = max(counted.LastDefectiveAttempt, attempt)
 	counted.Defects++
 	s.foldChecksum(j.Seq, uint64(counted.Defects))
 	if counted.Defects < j.Terms.MaxAttempts || j.ending() {
@@ -106,6 +104,30 @@
 	s.failQueuedJob(j, ref)
 }
 
+// recordDefectiveAttempt records that an attempt has failed, and reports whether it was not
+// recorded before.
+func (s *Store) recordDefectiveAttempt(counted *Task, attempt uint64) bool {
+	if s.Level >= LateGangDefectLevel {
+		return counted.recordDefectiveAttempt(attempt)
+	}
+	if attempt != unknownAttempt && counted.LastDefectiveAttempt >= attempt {
+		return false
+	}
+	counted.LastDefectiveAttempt = max(counted.LastDefectiveAttempt, attempt)
+	return true
+}
+
+// convertDefectiveAttempts replaces the number that earlier levels keep of the last failed
+// attempt by the list of all of them.
+func (s *Store) convertDefectiveAttempts() {
+	s.eachUnfinishedTask(func(_ *Job, _ identifier.TaskRef, task *Task) {
+		if task.LastDefectiveAttempt != unknownAttempt {
+			task.recordDefectiveAttempt(task.LastDefectiveAttempt)
+			task.LastDefectiveAttempt = unknownAttempt
+		}
+	})
+}
+
 // failQueuedJob fails a job one of whose tasks has used up its attempts.
 func (s *Store) failQueuedJob(j *Job, ref identifier.TaskRef) {
 	task := j.Task(ref)
--- a/internal/state/task.go
+++ b/internal/state/task.go
@@ -27,10 +27,12 @@
 	// Reason explains to users why the task is in its state.
 	Reason string `json:"why,omitempty"`
 	// Attempt is the number of the last attempt, LostAttempts are the attempt numbers of
-	// LostLeases, and LastDefectiveAttempt is the last attempt counted as a defect. Only
-	// jobs of queues use them.
+	// LostLeases, and DefectiveAttempts are the attempts counted in Defects. Below
+	// LateGangDefectLevel, LastDefectiveAttempt is the last of these. Only jobs of queues
+	// use them.
 	Attempt              uint64   `json:"no,omitempty"`
 	LostAttempts         []uint64 `json:"pastNo,omitempty"`
+	DefectiveAttempts    []uint64 `json:"badNo,omitempty"`
 	LastDefectiveAttempt uint64   `json:"bad,omitempty"`
 	// Checkpoint is the checkpoint from which the next attempt resumes.
 	Checkpoint string `json:"saved,omitempty"`
@@ -61,3 +63,13 @@
 	}
 	return attempt, true
 }
+
+// recordDefectiveAttempt adds an attempt to the defective ones, and reports whether it was
+// not among them. A task has at most as many as its queue allows it to fail.
+func (t *Task) recordDefectiveAttempt(attempt uint64) bool {
+	if slices.Contains(t.DefectiveAttempts, attempt) {
+		return false
+	}
+	t.DefectiveAttempts = append(t.DefectiveAttempts, attempt)
+	return true
+}
--- a/tests/mutation/jobs.go
+++ b/tests/mutation/jobs.go
@@ -152,6 +152,22 @@
 		tests:       test("./internal/state", "TestHalfEndedGangOnRaise"),
 		want:        "want well",
 	},
+	{
+		name:        "late defects of a gang are counted once per member",
+		file:        "internal/state/task.go",
+		original:    "if slices.Contains(t.DefectiveAttempts, attempt) {",
+		replacement: "if false {",
+		tests:       test("./tests/simulation/agents", "TestGangFailsWhileCutOff"),
+		want:        "is shown as failed, but no task has failed",
+	},
+	{
+		name:        "level raise forgets the last defective attempt",
+		file:        "internal/state/apply.go",
+		original:    "\t\ts.convertDefectiveAttempts()\n",
+		replacement: "",
+		tests:       test("./internal/state", "TestDefectsOnRaise"),
+		want:        "job q/g is failing, want running",
+	},
 	{
 		name:        "task is placed in any pool",
 		file:        "internal/state/queue_jobs.go",
--- a/tests/simulation/agent_runner.go
+++ b/tests/simulation/agent_runner.go
@@ -150,6 +150,8 @@
 		return runnerapi.OutcomeLeaseLapsed
 	case run.stopAt > 0 && now >= run.stopAt:
 		return runnerapi.OutcomeStopped
+	case run.worked(now) && r.cluster.AgentRuns.defective(run):
+		return runnerapi.OutcomeDefect
 	case step.Gang && r.cluster.AgentRuns.broken(run):
 		return runnerapi.OutcomeGangBroken
 	case run.workingSince == 0 && step.Gang && !r.cluster.AgentRuns.assembled(run, step):
@@ -159,12 +161,17 @@
 		return ""
 	case run.workingSince == 0:
 		run.workingSince = now
-	case now.Since(run.workingSince) >= run.ExpectedRun:
+	case run.worked(now):
 		return runnerapi.OutcomeSuccess
 	}
 	return ""
 }
 
+// worked reports whether the work of an attempt is complete.
+func (run *AgentRun) worked(now clock.Monotonic) bool {
+	return run.workingSince > 0 && now.Since(run.workingSince) >= run.ExpectedRun
+}
+
 func (r *AgentRunner) reportEnd(task identifier.TaskRef, attempt uint64, outcome string) {
 	r.lastEndSeq++
 	r.ends = append(r.ends, runnerapi.RunEnd{Seq: r.lastEndSeq, Task: task, Attempt: attempt, Outcome: outcome})
--- a/tests/simulation/agent_runs.go
+++ b/tests/simulation/agent_runs.go
@@ -41,6 +41,10 @@
 	payload     string
 	steps       []job.Step
 	cancelledAt int64
+	// defectiveAttempts is how many attempts of each task fail at the end of their work.
+	defectiveAttempts uint64
+	// failed are the attempts of each task, or of each gang, that have ended in a defect.
+	failed map[identifier.TaskRef]map[uint64]bool
 }
 
 // gangStep identifies the gang of one occurrence of a job.
@@ -71,7 +75,43 @@
 
 // Submitted records that a client sends a job with this payload for the first time.
 func (a *AgentRuns) Submitted(key identifier.JobKey, payload string, steps []job.Step) {
-	a.jobs[key] = &agentJob{payload: payload, steps: steps}
+	a.jobs[key] = &agentJob{payload: payload, steps: steps, failed: map[identifier.TaskRef]map[uint64]bool{}}
+}
+
+// FailFirst makes the first attempts of each task of a job fail at the end of their work.
+func (a *AgentRuns) FailFirst(key identifier.JobKey, attempts uint64) {
+	a.jobs[key].defectiveAttempts = attempts
+}
+
+// defective reports whether an attempt fails at the end of its work.
+func (a *AgentRuns) defective(run *AgentRun) bool {
+	j := a.jobs[jobOf(run.Task)]
+	return j != nil && run.Attempt <= j.defectiveAttempts
+}
+
+// recordDefect records that an attempt has ended in a defect. The members of a gang count
+// together, as its first member.
+func (a *AgentRuns) recordDefect(run *AgentRun) {
+	ref := run.Task
+	if a.step(ref).Gang {
+		ref.Num = 0
+	}
+	failed := a.jobs[jobOf(ref)].failed
+	if failed[ref] == nil {
+		failed[ref] = map[uint64]bool{}
+	}
+	failed[ref][run.Attempt] = true
+}
+
+// ShownFailed records that a job is shown as failed: one of its tasks, or gangs, must have
+// failed as often as its queue allows.
+func (a *AgentRuns) ShownFailed(key identifier.JobKey, allowed int) {
+	for _, attempts := range a.jobs[key].failed {
+		if len(attempts) >= allowed {
+			return
+		}
+	}
+	a.violate(invariants.JobStateIsTrue, "%s is shown as failed, but no task has failed %d times", key, allowed)
 }
 
 // Cancelled records that the cancellation of a job was acknowledged.
@@ -216,6 +256,9 @@
 func (a *AgentRuns) ended(r *AgentRunner, run *AgentRun, outcome string) {
 	a.Ends[outcome]++
 	a.cluster.Logf("%s end %s attempt %d %s", r.Name, run.Task, run.Attempt, outcome)
+	if outcome == runnerapi.OutcomeDefect {
+		a.recordDefect(run)
+	}
 	if outcome == runnerapi.OutcomeSuccess || !a.step(run.Task).Gang {
 		return
 	}
--- a/tests/simulation/agents/fixture_test.go
+++ b/tests/simulation/agents/fixture_test.go
@@ -24,6 +24,8 @@
 	// orderTimeout is the timeout of an order, orderRetry the delay of a retry, in ms.
 	orderTimeout = 1000
 	orderRetry   = 100
+	// queueTries is how many attempts of a task may fail.
+	queueTries = 3
 )
 
 // runnerCapacity is the capacity of each runner.
@@ -58,8 +60,8 @@
 // catalogText is the body of a catalog with one queue.
 func catalogText() []byte {
 	return []byte(fmt.Sprintf(`{"base":0,"version":2,`+
-		`"queues":[{"name":%q,"host":"h","prefix":"/p/","pool":%q,"rank":0,"tries":3,"stretch":2000,"setPointMs":1000,"timeoutMs":3000}],`+
-		`"pools":[{"name":%q}]}`, queueName, simulation.AgentPool, simulation.AgentPool))
+		`"queues":[{"name":%q,"host":"h","prefix":"/p/","pool":%q,"rank":0,"tries":%d,"stretch":2000,"setPointMs":1000,"timeoutMs":3000}],`+
+		`"pools":[{"name":%q}]}`, queueName, simulation.AgentPool, queueTries, simulation.AgentPool))
 }
 
 // order sends an order to one gateway after another until it is acknowledged.
@@ -129,6 +131,11 @@
 // checkInvariants fails the test for each invariant that was violated.
 func (c *agentCluster) checkInvariants(seed int64) {
 	c.t.Helper()
+	for _, key := range c.keys {
+		if c.jobState(key) == string(state.Failed) {
+			c.AgentRuns.ShownFailed(key, queueTries)
+		}
+	}
 	if len(c.Checker.Violations) > 0 {
 		c.t.Errorf("seed %d:\n%s", seed, strings.Join(c.Checker.Violations, "\n"))
 	}
--- a/tests/simulation/agents/late_gang_test.go
+++ b/tests/simulation/agents/late_gang_test.go
@@ -57,3 +57,23 @@
 		})
 	}
 }
+
+// TestGangFailsWhileCutOff checks that an attempt of a gang that fails while its machines are
+// cut off counts as one failed attempt, however many members report it late.
+func TestGangFailsWhileCutOff(t *testing.T) {
+	t.Parallel()
+	for seed := int64(1); seed <= lateGangs; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			c := newAgentCluster(t, seed, gangRunners)
+			key := c.submit(gang(gangMembers, gangWork), func() {})
+			c.AgentRuns.FailFirst(key, queueTries-1)
+			c.cutOffNearEnd(false)
+			c.runUntilSucceeded(key, readyAt+recoveryTime)
+			c.checkInvariants(seed)
+			if got := c.jobState(key); got != string(state.Succeeded) {
+				t.Errorf("the job is %s, ends %v", got, c.AgentRuns.Ends)
+			}
+		})
+	}
+}
