agent: a late heartbeat of an earlier incarnation does not shut out the running one

A runner could get no lease and no work until its agent restarted: a heartbeat of the runner's previous life that reached a restarted agent late took the place of the new life, which then counted as superseded.

Cause: a restarted agent knows no earlier incarnations and takes whichever it has not heard for a newer one. The leader knew better and answered the agent's polls with `retired`, which agents did not read; worse, such an answer renewed the agent's lease, though the leader does not count a retired poll as contact.

Change: on `retired` the agent drops that incarnation and what it had superseded. An incarnation that is presumed dead also gives way, for the case in which the new one's poll was lost.

Evidence: TestLateHeartbeatAfterAgentRestart, with server and agent, failed before ("the job is running"), and so did the tests of late_incarnation_test.go. Two mutations undo the fix.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"orchidward/internal/api/identifier"
 	"orchidward/internal/clock"
 	"orchidward/internal/transport/wire"
 )
@@ -59,7 +58,8 @@
 		now:    now,
 		runner: runnerState{
 			leaseEnd:   now.Add(config.MaxLease.WithDrift()),
-			superseded: map[identifier.Incarnation]bool{},
+			superseded: incarnationSet{},
+			retired:    incarnationSet{},
 		},
 		polls: newPollState(config),
 	}
@@ -94,6 +94,7 @@
 	}
 	if a.runner.presumedDead(a.now) && !a.runner.deathReported {
 		a.runner.deathReported = true
+		clear(a.runner.superseded)
 		a.unreported = true
 		a.logEvent("runner-dead", "runner", a.runner.heartbeat.Runner, "silentMs", a.now.Since(a.runner.receivedAt))
 	}
--- a/internal/agent/heartbeats.go
+++ b/internal/agent/heartbeats.go
@@ -13,8 +13,8 @@
 	// leaveDelay is how long after its leave notification a runner that announced its
 	// departure is considered to have left, unless it sends another heartbeat.
 	leaveDelay clock.Millis = 300
-	// maxSuperseded bounds the superseded incarnations that are kept.
-	maxSuperseded = 16
+	// maxIncarnations bounds the incarnations that are kept in a set.
+	maxIncarnations = 16
 )
 
 // runnerState is what the agent knows about its runner.
@@ -34,8 +34,28 @@
 	// leaves unannounced keeps running for a while, and so do its attempts.
 	leftAt        clock.Monotonic
 	unannouncedAt clock.Monotonic
-	// superseded holds the incarnations that a newer one has replaced.
-	superseded map[identifier.Incarnation]bool
+	// superseded holds the incarnations that another one has replaced here. A late heartbeat
+	// of an earlier incarnation may have replaced a later one, so that the set is cleared
+	// once the current incarnation is presumed dead or turns out to be over.
+	superseded incarnationSet
+	// retired holds the incarnations that the control plane has declared to be over.
+	retired incarnationSet
+}
+
+// incarnationSet is a set of incarnations of bounded size.
+type incarnationSet map[identifier.Incarnation]bool
+
+// add adds an incarnation. It first drops all others once the set is full.
+func (s incarnationSet) add(incarnation identifier.Incarnation) {
+	if len(s) >= maxIncarnations {
+		clear(s)
+	}
+	s[incarnation] = true
+}
+
+// over reports whether heartbeats of the incarnation are to be ignored.
+func (r *runnerState) over(incarnation identifier.Incarnation) bool {
+	return r.superseded[incarnation] || r.retired[incarnation]
 }
 
 // presumedDead reports whether the runner is silent and every lease it was granted has
@@ -81,7 +101,7 @@
 	a.now = max(a.now, now)
 	orders := Orders{NextHeartbeat: a.config.HeartbeatInterval}
 	switch {
-	case a.runner.superseded[heartbeat.Runner]:
+	case a.runner.over(heartbeat.Runner):
 		return orders
 	case !a.runner.isIncarnation(heartbeat.Runner):
 		a.beginIncarnation(heartbeat.Runner)
@@ -141,10 +161,7 @@
 func (a *Agent) beginIncarnation(incarnation identifier.Incarnation) {
 	if a.runner.heartbeat != nil {
 		previous := a.runner.heartbeat.Runner
-		if len(a.runner.superseded) >= maxSuperseded {
-			clear(a.runner.superseded)
-		}
-		a.runner.superseded[previous] = true
+		a.runner.superseded.add(previous)
 		a.logEvent("runner-restarted", "was", previous, "is", incarnation)
 	}
 	a.resetAttempts()
@@ -153,6 +170,22 @@
 	a.unreported = true
 }
 
+// retireIncarnation records that a later incarnation of the runner than the given one has
+// reported to the control plane. If the agent follows the earlier one, a late heartbeat has
+// misled it: it forgets that one, and what that one has superseded.
+func (a *Agent) retireIncarnation(incarnation identifier.Incarnation) {
+	a.runner.retired.add(incarnation)
+	if !a.runner.isIncarnation(incarnation) {
+		return
+	}
+	a.logEvent("runner-retired", "was", incarnation)
+	clear(a.runner.superseded)
+	a.resetAttempts()
+	a.runner.heartbeat = nil
+	a.runner.leftAt = 0
+	a.runner.unannouncedAt = 0
+}
+
 // resetAttempts discards the orders and the progress of all attempts of an incarnation.
 func (a *Agent) resetAttempts() {
 	a.orders = newPendingOrders()
--- a/internal/agent/polls.go
+++ b/internal/agent/polls.go
@@ -129,6 +129,10 @@
 	a.polls.backoff = 0
 	a.polls.nextAt = a.now
 	a.polls.refusedStatus = 0
+	if response.Retired {
+		a.retireIncarnation(open.incarnation)
+		return
+	}
 	if !a.InContact() {
 		a.logEvent("in-touch", "via", from)
 	}
@@ -155,7 +159,7 @@
 	}
 	delete(a.polls.sentAt, r.ID)
 	response, ok := decodePollResponse(r)
-	if !ok {
+	if !ok || response.Retired {
 		return
 	}
 	a.contact.recordAnswer(sentAt)
--- a/tests/mutation/runners.go
+++ b/tests/mutation/runners.go
@@ -42,6 +42,22 @@
 		tests:       test("./internal/controlplane", "TestRefusalDoesNotReplaceEnd"),
 		want:        "TWICE",
 	},
+	{
+		name:        "agent ignores that its runner's incarnation is over",
+		file:        "internal/agent/polls.go",
+		original:    "\tif response.Retired {",
+		replacement: "\tif response.Retired && false {",
+		tests:       test("./internal/controlplane", "TestLateHeartbeatAfterAgentRestart"),
+		want:        "the job is running",
+	},
+	{
+		name:        "superseded incarnation is never heard again",
+		file:        "internal/agent/agent.go",
+		original:    "\t\tclear(a.runner.superseded)\n",
+		replacement: "",
+		tests:       test("./internal/agent", "TestDeadIncarnationGivesWay"),
+		want:        "is not heard after the death",
+	},
 	{
 		name:        "full list of ends counts as complete",
 		file:        "platform/runs.go",
