controlplane: an answered poll with a lower number counts as contact

A task could run twice at once: an agent process that numbers its polls lower than the one before, after its clock was set back, got an answer that renewed its lease, while the leader still counted the runner's silence from the previous process's last poll. Cut off right then, the runner was declared lost within its lease.

Cause: admitPoll answers a poll whose number is not above the last with an ordinary lease, but did not record that it had heard the runner.

Change: such a poll renews the leader's contact too. A duplicate that arrives late can only delay a loss, never hasten it.

Evidence: TestLeaseAfterLowerPollNumbers failed before ("TWICE: ... runs on m0 and started on m1"). A mutation undoes the fix.

--- a/internal/controlplane/restarted_agent_test.go
+++ b/internal/controlplane/restarted_agent_test.go
@@ -39,3 +39,28 @@
 		t.Errorf("the job is %s", got)
 	}
 }
+
+// TestLeaseAfterLowerPollNumbers checks that a runner is not declared lost within a lease that
+// an agent process with lower poll numbers than the previous one has granted: the answer that
+// renewed the lease counts as contact for the leader too.
+func TestLeaseAfterLowerPollNumbers(t *testing.T) {
+	cluster := newTestCluster(t, 1, 2)
+	cluster.submit(numberedJob(1), 1, 40000)
+	cluster.run(300)
+	runner, other := cluster.runners[0], cluster.runners[1]
+	if len(runner.runs) == 0 {
+		runner, other = other, runner
+	}
+	runner.isolated = true
+	cluster.run(3000)
+	runner.isolated = false
+	cluster.restartAgent(runner, 1)
+	for !runner.agent.InContact() {
+		cluster.run(1)
+	}
+	runner.isolated = true
+	cluster.run(15000)
+	if len(runner.runs) > 0 || len(other.runs) != 1 {
+		t.Errorf("%d runs on the isolated runner, %d on the other; want none and one", len(runner.runs), len(other.runs))
+	}
+}
--- a/internal/controlplane/runner_polls.go
+++ b/internal/controlplane/runner_polls.go
@@ -101,6 +101,7 @@
 		*contact = runnerContact{incarnation: poll.Incarnation, lastHeard: s.now, agent: s.carryOverAgent(contact)}
 	}
 	if poll.Seq <= contact.seq {
+		contact.lastHeard = s.now
 		response := s.emptyPollResponse(contact)
 		response.Seq = contact.seq
 		s.replyJSON(peer, id, http.StatusOK, response)
--- a/tests/mutation/runners.go
+++ b/tests/mutation/runners.go
@@ -58,6 +58,14 @@
 		tests:       test("./internal/agent", "TestDeadIncarnationGivesWay"),
 		want:        "is not heard after the death",
 	},
+	{
+		name:        "answered poll with a lower number is no contact",
+		file:        "internal/controlplane/runner_polls.go",
+		original:    "\t\tcontact.lastHeard = s.now\n\t\tresponse",
+		replacement: "\t\tresponse",
+		tests:       test("./internal/controlplane", "TestLeaseAfterLowerPollNumbers"),
+		want:        "TWICE",
+	},
 	{
 		name:        "full list of ends counts as complete",
 		file:        "platform/runs.go",
