scheduler: a runner gets no more tasks than its agent's poll may list

A poll with more than 4,096 attempts is refused whole, so that a runner with more small tasks than that would have been counted lost, and its tasks placed again elsewhere.

Change: a runner with 3,840 open leases gets no further tasks. A cycle adds some 128; a gang of over 4,096 tasks on one runner is still refused.

A mutation undoes the fix.

--- a/internal/api/runnerapi/read.go
+++ b/internal/api/runnerapi/read.go
@@ -8,8 +8,8 @@
 
 // Limits on the fields of a poll.
 const (
-	// maxItems bounds each list of attempts.
-	maxItems  = 4096
+	// MaxItems bounds each list of attempts in a poll.
+	MaxItems  = 4096
 	maxLabels = 64
 	// maxAmount bounds each amount of resources.
 	maxAmount = 1 << 30
@@ -61,10 +61,10 @@
 	if p.Agent {
 		readAgentFields(o, p)
 	}
-	for _, id := range o.Ints("running", maxItems) {
+	for _, id := range o.Ints("running", MaxItems) {
 		p.Running = append(p.Running, identifier.LeaseID(id))
 	}
-	for _, object := range o.List("ended", maxItems) {
+	for _, object := range o.List("ended", MaxItems) {
 		p.Ended = append(p.Ended, readEnd(object))
 	}
 	o.Done()
@@ -89,13 +89,13 @@
 	p.SilentFor = clock.Millis(o.Int("silentMs", 0, 0, maxMillis))
 	p.LeftInOrder = o.Bool("left", false)
 	p.PresumedDead = o.Bool("dead", false)
-	for _, object := range o.List("active", maxItems) {
+	for _, object := range o.List("active", MaxItems) {
 		p.Active = append(p.Active, readRunState(object))
 	}
-	for _, object := range o.List("finished", maxItems) {
+	for _, object := range o.List("finished", MaxItems) {
 		p.Finished = append(p.Finished, readRunEnd(object))
 	}
-	for _, object := range o.List("gone", maxItems) {
+	for _, object := range o.List("gone", MaxItems) {
 		p.Cleared = append(p.Cleared, readRunStop(object))
 	}
 }
--- a/internal/api/runnerapi/read_test.go
+++ b/internal/api/runnerapi/read_test.go
@@ -241,10 +241,10 @@
 		return []byte(`{"incarnation":"i","seq":1,"cores":1,"memMb":1,"domain":"d","rack":"r","agent":true,` + field + "}")
 	}
 	for _, c := range []struct{ within, past string }{
-		{`"running":` + list(maxItems, "1"), `"running":` + list(maxItems+1, "1")},
+		{`"running":` + list(MaxItems, "1"), `"running":` + list(MaxItems+1, "1")},
 		{`"labels":` + list(64, `"l"`), `"labels":` + list(65, `"l"`)},
-		{`"active":` + list(maxItems, "{}"), `"active":` + list(maxItems+1, "{}")},
-		{`"gone":` + list(maxItems, "{}"), `"gone":` + list(maxItems+1, "{}")},
+		{`"active":` + list(MaxItems, "{}"), `"active":` + list(MaxItems+1, "{}")},
+		{`"gone":` + list(MaxItems, "{}"), `"gone":` + list(MaxItems+1, "{}")},
 		{checkpoint(MaxCheckpointBytes), checkpoint(MaxCheckpointBytes + 1)},
 		{`"running":[9007199254740992]`, `"running":[9007199254740993]`},
 		{`"gpus":1073741824`, `"gpus":1073741825`},
--- a/internal/api/runnerapi/scan_poll.go
+++ b/internal/api/runnerapi/scan_poll.go
@@ -81,9 +81,9 @@
 	case "departsMs":
 		p.DepartsIn = clock.Millis(s.int(0, maxMillis))
 	case "running":
-		s.list(maxItems, func() { p.Running = append(p.Running, identifier.LeaseID(s.int(0, maxID))) })
+		s.list(MaxItems, func() { p.Running = append(p.Running, identifier.LeaseID(s.int(0, maxID))) })
 	case "ended":
-		s.list(maxItems, func() { p.Ended = append(p.Ended, s.attemptEnd()) })
+		s.list(MaxItems, func() { p.Ended = append(p.Ended, s.attemptEnd()) })
 	case "agent":
 		p.Agent = s.bool()
 	default:
@@ -104,11 +104,11 @@
 	case "silentMs":
 		p.SilentFor = clock.Millis(s.int(0, maxMillis))
 	case "active":
-		s.list(maxItems, func() { p.Active = append(p.Active, s.runState()) })
+		s.list(MaxItems, func() { p.Active = append(p.Active, s.runState()) })
 	case "finished":
-		s.list(maxItems, func() { p.Finished = append(p.Finished, s.runEnd()) })
+		s.list(MaxItems, func() { p.Finished = append(p.Finished, s.runEnd()) })
 	case "gone":
-		s.list(maxItems, func() { p.Cleared = append(p.Cleared, s.runStop()) })
+		s.list(MaxItems, func() { p.Cleared = append(p.Cleared, s.runStop()) })
 	case "left":
 		p.LeftInOrder = s.bool()
 	case "dead":
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -3,6 +3,7 @@
 import (
 	"orchidward/internal/api/identifier"
 	"orchidward/internal/api/job"
+	"orchidward/internal/api/runnerapi"
 	"orchidward/internal/prediction"
 	"orchidward/internal/scheduler/feasibility"
 	"orchidward/internal/state"
@@ -30,6 +31,10 @@
 // unreserved returns the free resources that units without a reservation may use.
 func (n *node) unreserved() job.Demand { return n.free.Minus(n.reserved) }
 
+// maxRunnerTasks is the number of open leases from which on a runner gets no further tasks: a
+// poll lists at most runnerapi.MaxItems attempts, and a cycle adds up to maxPlacedTasks.
+const maxRunnerTasks = runnerapi.MaxItems - 2*maxPlacedTasks
+
 // usableNodes returns the runners that may be given tasks, sorted by name.
 func usableNodes(store *state.Store, view RunnerView) []*node {
 	leavingRacks := map[identifier.Rack]bool{}
@@ -44,7 +49,7 @@
 	nodes := make([]*node, 0, len(store.RunnerNames()))
 	for _, name := range store.RunnerNames() {
 		runner := store.Runners[name]
-		if runner.Gone || runner.CordonedBy() != "" || !view.Schedulable(name) {
+		if runner.Gone || runner.CordonedBy() != "" || runner.OpenLeases() >= maxRunnerTasks || !view.Schedulable(name) {
 			continue
 		}
 		onTrial := needsTrial(runner, mean)
--- a/tests/mutation/placement.go
+++ b/tests/mutation/placement.go
@@ -2,6 +2,14 @@
 
 // placementMutations break how the scheduler chooses where and when tasks run.
 var placementMutations = []mutation{
+	{
+		name:        "runner gets more tasks than a poll lists",
+		file:        "internal/scheduler/node.go",
+		original:    " || runner.OpenLeases() >= maxRunnerTasks",
+		replacement: " || maxRunnerTasks < 0",
+		tests:       test("./internal/scheduler", "TestRunnerTasksFitPoll"),
+		want:        "tasks on one runner",
+	},
 	{
 		name:        "predicted runs are not used to find late jobs",
 		file:        "internal/scheduler/job_order.go",
