agent, controlplane: starts in one answer are bounded in bytes

A runner drops an answer of over 4 MiB, and with it its leases; a process closes a connection on a frame of over 8 MiB. Neither the agent's answers to heartbeats nor the leader's answers to polls bounded the starts in them: 1,100 waiting starts with the longest text that clients send would do.

Change: LimitStarts cuts a list of starts by its bytes, 512 KiB for a runner and 1 MiB for an agent before they are encoded. The rest stays unsent, and goes with the next answer; nobody takes its absence for knowledge.

Two mutations undo the fix.

--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -49,16 +49,23 @@
 	return pendingOrders{starts: map[attempt]*startOrder{}, stops: map[attempt]bool{}, cleared: map[attempt]bool{}}
 }
 
-// takeStarts returns the starts that have not been sent yet and marks them as sent. The next
-// heartbeat shows whether the runner received them.
+// maxStartsBytes bounds the starts in the response to one heartbeat, in bytes before they are
+// encoded. A runner drops a response of over 4 MiB, and an encoded byte can take up six.
+const maxStartsBytes = 512 << 10
+
+// takeStarts returns the starts that have not been sent yet, as many as one response may hold,
+// and marks them as sent. The next heartbeat shows whether the runner received them.
 func (p *pendingOrders) takeStarts(now clock.Monotonic) []runnerapi.Start {
 	var list []runnerapi.Start
 	for _, order := range p.sortedStarts() {
 		if !order.sent && now <= order.expires {
-			order.sent = true
 			list = append(list, order.Start)
 		}
 	}
+	list = runnerapi.LimitStarts(list, maxStartsBytes)
+	for _, start := range list {
+		p.starts[attempt{start.Task, start.Attempt}].sent = true
+	}
 	return list
 }
 
--- a/internal/api/runnerapi/poll.go
+++ b/internal/api/runnerapi/poll.go
@@ -81,6 +81,27 @@
 	Checkpoint string `json:"saved,omitempty"`
 }
 
+// startOverhead is the approximate size of a start's fixed fields, in bytes.
+const startOverhead = 128
+
+// bytes returns the approximate size of the start, before it is encoded.
+func (s *Start) bytes() int {
+	return startOverhead + len(s.Task.Job) + len(s.Payload) + len(s.Checkpoint)
+}
+
+// LimitStarts returns the first of the starts whose total size is at most maxBytes, but at
+// least one if there are any.
+func LimitStarts(starts []Start, maxBytes int) []Start {
+	size := 0
+	for i := range starts {
+		size += starts[i].bytes()
+		if i > 0 && size > maxBytes {
+			return starts[:i]
+		}
+	}
+	return starts
+}
+
 // PollTimeout returns how long the control plane holds a poll open while it has nothing to
 // report, given the current start timeout: a start must reach the runner well within the start
 // timeout.
--- a/internal/controlplane/agent_answers.go
+++ b/internal/controlplane/agent_answers.go
@@ -21,6 +21,10 @@
 	return observed
 }
 
+// maxStartsBytes bounds the starts in one response, in bytes before they are encoded, so that
+// the response fits into a frame. The agent polls again at once for the others.
+const maxStartsBytes = 1 << 20
+
 // answerAgentPoll answers an agent's open poll if there is something to send that was not
 // sent before, or the poll has timed out.
 func (s *Server) answerAgentPoll(name identifier.Runner, contact *runnerContact, response *runnerapi.PollResponse, timeout clock.Millis) {
@@ -44,6 +48,7 @@
 	for i := range response.Starts {
 		s.fillAgentStart(&response.Starts[i])
 	}
+	response.Starts = runnerapi.LimitStarts(response.Starts, maxStartsBytes)
 	empty := s.emptyPollResponse(contact)
 	response.Lease = empty.Lease
 	response.StartTimeout = empty.StartTimeout
--- a/tests/mutation/runners.go
+++ b/tests/mutation/runners.go
@@ -1,5 +1,7 @@
 package main
 
+import "orchidward/tests/sourceedit"
+
 // runnerMutations break runners, agents and how the leader assesses their health.
 var runnerMutations = []mutation{
 	{
@@ -66,6 +68,27 @@
 		tests:       test("./internal/controlplane", "TestLeaseAfterLowerPollNumbers"),
 		want:        "TWICE",
 	},
+	{
+		name:        "agent hands out all starts in one response",
+		file:        "internal/agent/orders.go",
+		original:    "list = runnerapi.LimitStarts(list, maxStartsBytes)",
+		replacement: "_ = maxStartsBytes",
+		tests:       test("./internal/agent", "TestStartsFitResponse"),
+		want:        "in one response after 0",
+	},
+	{
+		name:        "leader sends all starts in one response",
+		file:        "internal/controlplane/agent_answers.go",
+		original:    "\tresponse.Starts = runnerapi.LimitStarts(response.Starts, maxStartsBytes)\n",
+		replacement: "",
+		also: []sourceedit.Edit{{
+			File:        "internal/controlplane/agent_answers.go",
+			Original:    "const maxStartsBytes = 1 << 20",
+			Replacement: "",
+		}},
+		tests: test("./internal/controlplane", "TestStartsFitFrame"),
+		want:  "a response of",
+	},
 	{
 		name:        "full list of ends counts as complete",
 		file:        "platform/runs.go",
