--- a/internal/agent/doc.go
+++ b/internal/agent/doc.go
@@ -18,10 +18,14 @@
 //   - A start order is sent in one heartbeat response only, and expires with the poll whose
 //     response delivered it.
 //   - A runner is presumed dead only after every lease that it was granted has expired.
-//   - Late heartbeats, and heartbeats from a superseded incarnation, change nothing.
+//   - Late heartbeats, and heartbeats from a superseded or retired incarnation, change
+//     nothing.
+//   - That a heartbeat lacks an attempt proves nothing while its list of ends may be
+//     truncated.
 //
 // Start with agent.go, which has the state machine and its inputs. heartbeats.go tracks the
-// runner, orders.go its pending orders, progress.go the progress of its attempts, polls.go
+// runner, incarnations.go its restarts, reported_attempts.go what a heartbeat says of its
+// attempts, orders.go its pending orders, progress.go the progress of its attempts, polls.go
 // and poll_state.go the exchange with the control plane, and fencing_token.go the leader's
 // fencing token.
 package agent
--- a/internal/agent/heartbeats.go
+++ b/internal/agent/heartbeats.go
@@ -13,8 +13,6 @@
 	// leaveDelay is how long after its leave notification a runner that announced its
 	// departure is considered to have left, unless it sends another heartbeat.
 	leaveDelay clock.Millis = 300
-	// maxIncarnations bounds the incarnations that are kept in a set.
-	maxIncarnations = 16
 )
 
 // runnerState is what the agent knows about its runner.
@@ -42,22 +40,6 @@
 	retired incarnationSet
 }
 
-// incarnationSet is a set of incarnations of bounded size.
-type incarnationSet map[identifier.Incarnation]bool
-
-// add adds an incarnation. It first drops all others once the set is full.
-func (s incarnationSet) add(incarnation identifier.Incarnation) {
-	if len(s) >= maxIncarnations {
-		clear(s)
-	}
-	s[incarnation] = true
-}
-
-// over reports whether heartbeats of the incarnation are to be ignored.
-func (r *runnerState) over(incarnation identifier.Incarnation) bool {
-	return r.superseded[incarnation] || r.retired[incarnation]
-}
-
 // presumedDead reports whether the runner is silent and every lease it was granted has
 // expired, so that none of its attempts can still be running.
 func (r *runnerState) presumedDead(now clock.Monotonic) bool {
@@ -156,42 +138,6 @@
 	return min(a.config.UsualLease, a.config.MaxLease)
 }
 
-// beginIncarnation records that a new incarnation of the runner reports. The attempts of the
-// previous incarnation are dead.
-func (a *Agent) beginIncarnation(incarnation identifier.Incarnation) {
-	if a.runner.heartbeat != nil {
-		previous := a.runner.heartbeat.Runner
-		a.runner.superseded.add(previous)
-		a.logEvent("runner-restarted", "was", previous, "is", incarnation)
-	}
-	a.resetAttempts()
-	a.runner.heartbeat = nil
-	a.runner.unannouncedAt = 0
-	a.unreported = true
-}
-
-// retireIncarnation records that a later incarnation of the runner than the given one has
-// reported to the control plane. If the agent follows the earlier one, a late heartbeat has
-// misled it: it forgets that one, and what that one has superseded.
-func (a *Agent) retireIncarnation(incarnation identifier.Incarnation) {
-	a.runner.retired.add(incarnation)
-	if !a.runner.isIncarnation(incarnation) {
-		return
-	}
-	a.logEvent("runner-retired", "was", incarnation)
-	clear(a.runner.superseded)
-	a.resetAttempts()
-	a.runner.heartbeat = nil
-	a.runner.leftAt = 0
-	a.runner.unannouncedAt = 0
-}
-
-// resetAttempts discards the orders and the progress of all attempts of an incarnation.
-func (a *Agent) resetAttempts() {
-	a.orders = newPendingOrders()
-	a.progress = map[attempt]runProgress{}
-}
-
 // compareWithOrders compares a heartbeat with the previous one and with the pending orders,
 // and sets unreported if anything changed.
 func (a *Agent) compareWithOrders(heartbeat *Heartbeat) {
@@ -211,29 +157,6 @@
 	}
 }
 
-// reportedAttempts are the attempts that a heartbeat lists as running or ended. complete is
-// set if the lists have all of them.
-type reportedAttempts struct {
-	listed   map[attempt]bool
-	complete bool
-}
-
-// absent reports whether the runner certainly neither runs an attempt nor holds an end of it
-// that is not observed yet.
-func (r reportedAttempts) absent(name attempt) bool { return r.complete && !r.listed[name] }
-
-// attempts returns the attempts that the heartbeat reports.
-func (h *Heartbeat) attempts() reportedAttempts {
-	reported := reportedAttempts{listed: map[attempt]bool{}, complete: !h.EndsTruncated}
-	for _, active := range h.Active {
-		reported.listed[attempt{active.Task, active.Attempt}] = true
-	}
-	for _, finished := range h.Finished {
-		reported.listed[attempt{finished.Task, finished.Attempt}] = true
-	}
-	return reported
-}
-
 // differs reports whether a heartbeat has changes over the previous one other than the
 // progress of attempts.
 func differs(previous, current *Heartbeat, reported reportedAttempts) bool {
--- a/internal/state/doc.go
+++ b/internal/state/doc.go
@@ -19,7 +19,9 @@
 //     is placed completely or not at all.
 //   - An open lease holds its resources on the runner, even after it was revoked,
 //     until an end is reported or the runner is counted lost.
-//   - Only a reported defect counts against a task's allowance.
+//   - Only a reported defect counts against a task's allowance, and an attempt counts once
+//     by its number, whichever members of a gang report it and however late.
+//   - The success of one member completes a queue's gang, however late it is reported.
 //   - A drain advances by one committed stage at a time, and a command names the
 //     stage that it starts from, so that a new leader resumes where the previous one
 //     stopped.
--- a/tests/mutation/runners.go
+++ b/tests/mutation/runners.go
@@ -30,7 +30,7 @@
 	},
 	{
 		name:        "truncated list of ends counts as complete",
-		file:        "internal/agent/heartbeats.go",
+		file:        "internal/agent/reported_attempts.go",
 		original:    "complete: !h.EndsTruncated",
 		replacement: "complete: true",
 		tests:       test("./tests/simulation/agents", "TestDrainWithTruncatedEnds"),
