--- a/tests/mutation/errors.go
+++ b/tests/mutation/errors.go
@@ -8,6 +8,13 @@
 // errUnnoticed reports that the tests of a broken tree passed.
 var errUnnoticed = errors.New("UNNOTICED")
 
+// unnoticed reports whether an error says that a mutation went unnoticed, rather than that
+// it could not be tried.
+func unnoticed(err error) bool {
+	var other *otherFailureError
+	return errors.Is(err, errUnnoticed) || errors.As(err, &other)
+}
+
 // maxOutputTail bounds the part of a failed test's output in an error, in bytes.
 const maxOutputTail = 300
 
--- a/tests/mutation/main.go
+++ b/tests/mutation/main.go
@@ -25,8 +25,14 @@
 		fmt.Fprintf(os.Stderr, "no mutation has %q in its name\n", *only)
 		os.Exit(2)
 	}
-	if unnoticed := runAll(chosen, max(1, *jobs)); unnoticed > 0 {
-		fmt.Printf("%d of %d mutations went unnoticed\n", unnoticed, len(chosen))
+	unnoticedCount, untried := runAll(chosen, max(1, *jobs))
+	if untried > 0 {
+		fmt.Printf("%d of %d mutations could not be tried\n", untried, len(chosen))
+	}
+	if unnoticedCount > 0 {
+		fmt.Printf("%d of %d mutations went unnoticed\n", unnoticedCount, len(chosen))
+	}
+	if unnoticedCount+untried > 0 {
 		os.Exit(1)
 	}
 	fmt.Printf("all %d mutations were noticed\n", len(chosen))
@@ -43,8 +49,8 @@
 }
 
 // runAll runs the mutations, at most jobs at once, prints the results in the order of the
-// list and returns how many mutations went unnoticed.
-func runAll(list []mutation, jobs int) int {
+// list and returns how many mutations went unnoticed, and how many could not be tried.
+func runAll(list []mutation, jobs int) (unnoticedCount, untried int) {
 	results := make([]chan result, len(list))
 	slots := make(chan struct{}, jobs)
 	for i := range list {
@@ -60,15 +66,18 @@
 			}()
 		}
 	}()
-	unnoticed := 0
 	for i, m := range list {
 		r := <-results[i]
-		if r.err != nil {
-			unnoticed++
+		switch {
+		case r.err == nil:
+		case unnoticed(r.err):
+			unnoticedCount++
+		default:
+			untried++
 		}
 		fmt.Printf("%-52s %s\n", m.name, r)
 	}
-	return unnoticed
+	return unnoticedCount, untried
 }
 
 // String formats the result for printing.
--- a/tests/simulation/agents/late_gang_test.go
+++ b/tests/simulation/agents/late_gang_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"orchidward/internal/api/identifier"
 	"orchidward/internal/state"
 	"orchidward/tests/simulation"
 )
@@ -39,16 +40,16 @@
 	})
 }
 
-// TestGangEndsWhileCutOff checks that a gang that succeeds while its machines are cut off
-// counts as succeeded as a whole, also if only some of the members can still report it.
-func TestGangEndsWhileCutOff(t *testing.T) {
+// eachGangCutOff submits a gang for each seed, cuts it off near the end of its work as
+// prepare says, and checks that the job succeeds nevertheless.
+func eachGangCutOff(t *testing.T, prepare func(c *agentCluster, key identifier.JobKey, seed int64)) {
 	t.Parallel()
 	for seed := int64(1); seed <= lateGangs; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			c := newAgentCluster(t, seed, gangRunners)
 			key := c.submit(gang(gangMembers, gangWork), func() {})
-			c.cutOffNearEnd(seed%2 == 0)
+			prepare(c, key, seed)
 			c.runUntilSucceeded(key, readyAt+recoveryTime)
 			c.checkInvariants(seed)
 			if got := c.jobState(key); got != string(state.Succeeded) {
@@ -58,22 +59,19 @@
 	}
 }
 
+// TestGangEndsWhileCutOff checks that a gang that succeeds while its machines are cut off
+// counts as succeeded as a whole, also if only some of the members can still report it.
+func TestGangEndsWhileCutOff(t *testing.T) {
+	eachGangCutOff(t, func(c *agentCluster, _ identifier.JobKey, seed int64) {
+		c.cutOffNearEnd(seed%2 == 0)
+	})
+}
+
 // TestGangFailsWhileCutOff checks that an attempt of a gang that fails while its machines are
 // cut off counts as one failed attempt, however many members report it late.
 func TestGangFailsWhileCutOff(t *testing.T) {
-	t.Parallel()
-	for seed := int64(1); seed <= lateGangs; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			c := newAgentCluster(t, seed, gangRunners)
-			key := c.submit(gang(gangMembers, gangWork), func() {})
-			c.AgentRuns.FailFirst(key, queueTries-1)
-			c.cutOffNearEnd(false)
-			c.runUntilSucceeded(key, readyAt+recoveryTime)
-			c.checkInvariants(seed)
-			if got := c.jobState(key); got != string(state.Succeeded) {
-				t.Errorf("the job is %s, ends %v", got, c.AgentRuns.Ends)
-			}
-		})
-	}
+	eachGangCutOff(t, func(c *agentCluster, key identifier.JobKey, _ int64) {
+		c.AgentRuns.FailFirst(key, queueTries-1)
+		c.cutOffNearEnd(false)
+	})
 }
--- a/tests/simulation/scenarios/disks_test.go
+++ b/tests/simulation/scenarios/disks_test.go
@@ -35,13 +35,17 @@
 	var oldLeader, newLeader *simulation.Server
 	scenario := simulation.Scenario{Seed: 9, Window: 25000, Recovery: 40000, Setup: func(cluster *simulation.Cluster) {
 		cluster.At(9000, func() {
-			oldLeader = cluster.Leader()
-			oldLeader.DiskDelay = 3000
+			if oldLeader = cluster.Leader(); oldLeader != nil {
+				oldLeader.DiskDelay = 3000
+			}
 		})
 		cluster.At(15000, func() { newLeader = cluster.Leader() })
 	}}
 	simulationtest.RunScenario(t, scenario)
-	if oldLeader == nil || newLeader == nil || oldLeader == newLeader {
+	switch {
+	case oldLeader == nil || newLeader == nil:
+		t.Errorf("no leader: found one before %v, after %v", oldLeader != nil, newLeader != nil)
+	case oldLeader == newLeader:
 		t.Errorf("6 s after its disk became slow %v still leads", oldLeader.Name)
 	}
 }
